--- /dev/null
+++ b/almondlinkd/entry_loop.cc
@@ -0,0 +1,764 @@
+#include "almondlinkd/entry_loop.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/base/hash.h"
+#include "almondlink/control/idempotency_key.h"
+#include "almondlink/control/pressure.h"
+#include "almondlink/control/retry_decision.h"
+#include "almondlink/control/retry_grant.h"
+#include "almondlinkd/classify.h"
+
+namespace almondlink::daemon {
+
+namespace {
+
+constexpr std::size_t kRepeatPlaces = 16'384;
+constexpr double kMicrosPerMilli = 1000;
+constexpr const char* kMintPath = "/.almondlink/keys";
+constexpr std::size_t kMaxDownstream = 4096;
+/// Time past the deadline that the target's node has to report it.
+constexpr Millis kAnswerGrace{20};
+
+bool IsTargetFault(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kTargetLost:
+    case ErrorKind::kTargetTimeout:
+    case ErrorKind::kTargetBadAnswer:
+    case ErrorKind::kPeerLost:
+    case ErrorKind::kPeerUnreachable:
+    case ErrorKind::kConnectFailed:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Hash that tells one call of a service, or one request of a caller, from
+/// others.
+std::uint64_t HashOf(const server::CallerRequest& request,
+                     const ClassifiedCall& call) {
+  std::uint64_t hash = StableHash(call.caller);
+  hash = StableHash(request.method, hash);
+  hash = StableHash(call.operation->service.Value(), hash);
+  hash = StableHash(request.target, hash);
+  return StableHash(call.key, hash) | 1U;
+}
+
+/// Fields of the caller that go on to the target. Almondlink's own are set anew
+/// at each hop.
+wire::Header* FindOwn(wire::Header& header) {
+  const bool is_own =
+      strncasecmp(header.name.c_str(), "almondlink-", 11) == 0 ||
+      server::IsSameToken(header.name, server::kTraceParentHeader) ||
+      server::IsSameToken(header.name, server::kKeyHeader) ||
+      server::IsSameToken(header.name, "host");
+  return is_own ? &header : nullptr;
+}
+
+void DropOwnHeaders(server::Headers& headers) {
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [](wire::Header& header) {
+                                 return FindOwn(header) != nullptr;
+                               }),
+                headers.end());
+}
+
+}  // namespace
+
+/// One call on its way: attempts go out one after the other until an answer is
+/// whole, or grant, budget, targets or time are used up.
+struct EntryCall {
+  server::CallerRequest request;
+  std::shared_ptr<server::CallerExchange> exchange;
+  ClassifiedCall call;
+  std::uint64_t hash = 0;
+  Millis arrived;
+  LatencyMs started;
+  control::RetryGrant grant;
+  /// Attempts by this node, and below it.
+  std::uint32_t attempts = 0;
+  std::uint32_t attempts_below = 0;
+  std::uint32_t retries = 0;
+  std::vector<std::string> tried;
+  bool is_done = false;
+  bool is_recalling = false;
+  bool is_minting = false;
+  // The attempt that is out.
+  std::string target_node;
+  std::uint32_t lent = 0;
+  LatencyMs sent;
+  std::optional<mesh::CallId> out;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+};
+
+using EntryCallPointer = std::shared_ptr<EntryCall>;
+
+class EntryLoop::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& loop,
+       SharedState& shared,
+       TraceRecorder& recorder,
+       std::size_t index)
+      : loop(loop),
+        shared(shared),
+        recorder(recorder),
+        links(loop, LinksConfig(shared)),
+        repeats(control::MakeCallerRepeats(kRepeatPlaces)),
+        random(StableHash(index, StableHash(shared.incarnation.Value()))) {}
+
+  void Handle(server::CallerRequest request,
+              std::shared_ptr<server::CallerExchange> exchange) {
+    const EntryCallPointer entry = std::make_shared<EntryCall>();
+    entry->request = std::move(request);
+    entry->exchange = std::move(exchange);
+    entry->arrived = MonotonicNow();
+    entry->started = PreciseNow();
+    this->shared.calls_open.fetch_add(1);
+    ++this->open_calls;
+    const bool is_mint =
+        entry->request.method == "POST" && entry->request.target == kMintPath;
+    const Failure failure = HandleFailure(
+        [&]() -> Result<Failure> {
+          if (is_mint) {
+            BOOST_LEAF_CHECK(this->PrepareMint(*entry));
+          } else {
+            BOOST_LEAF_ASSIGN(entry->call, this->ClassifyRequest(*entry));
+          }
+          return Failure{ErrorKind::kNone, ""};
+        },
+        [](const Failure& caught) { return caught; });
+    if (failure.kind != ErrorKind::kNone) {
+      this->FinishUnclassified(*entry, failure);
+      return;
+    }
+    entry->exchange->SetGoneHandler([weak = this->weak_from_this(), entry]() {
+      if (const std::shared_ptr<Impl> self = weak.lock()) {
+        self->OnCallerGone(entry);
+      }
+    });
+    this->Begin(entry);
+  }
+
+  void Close() { this->links.Close(); }
+
+  EntryReport Report() const {
+    EntryReport report;
+    for (const auto& [service, views] : this->views) {
+      for (std::size_t i = 0; i < views.targets.size(); ++i) {
+        report.targets.push_back(
+            TargetReport{service, views.routes[i].node, views.targets[i]});
+      }
+    }
+    report.usage = this->usage;
+    report.call_time = this->call_time.Summary();
+    report.added_time = this->added_time.Summary();
+    report.links = this->links.LinkCount();
+    report.late_answers = this->links.LateAnswers();
+    report.open_calls = this->open_calls;
+    return report;
+  }
+
+ private:
+  /// The targets of one service as this loop sees them, kept in step with the
+  /// routing table.
+  struct ServiceViews {
+    std::shared_ptr<const RoutingTable> table;
+    std::vector<RouteEntry> routes;
+    std::vector<control::TargetView> targets;
+  };
+
+  static mesh::PeerLinksConfig LinksConfig(const SharedState& shared) {
+    mesh::PeerLinksConfig config;
+    config.node = NodeId(shared.settings.node.id);
+    config.key = shared.key;
+    config.ping_after = shared.settings.mesh.link_ping;
+    config.silent_after = shared.settings.mesh.link_silent;
+    config.max_message = static_cast<std::size_t>(
+        shared.settings.node.max_body + 4 * shared.settings.node.max_header);
+    return config;
+  }
+
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+
+  Result<ClassifiedCall> ClassifyRequest(const EntryCall& entry) {
+    ClassifyInput input;
+    input.now = entry.arrived;
+    input.wall_now = WallNow();
+    input.fresh_root = RootId{this->random() | 1U, this->random()};
+    return Classify(entry.request, this->shared.bundle.Read(),
+                    this->shared.work, input);
+  }
+
+  /// A request for a minted key names a service, a team and a caller only.
+  Result<void> PrepareMint(EntryCall& entry) {
+    const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
+    if (view == nullptr) {
+      return Fail(ErrorKind::kNoBundle, "");
+    }
+    const std::string& service =
+        server::HeaderValue(entry.request.headers, server::kServiceHeader);
+    const auto found = view->in_force->bundle->by_service.find(service);
+    if (found == view->in_force->bundle->by_service.end()) {
+      return Fail(ErrorKind::kUnknownService, "");
+    }
+    for (const std::size_t index : found->second) {
+      const policy::OperationSpec& operation =
+          view->in_force->bundle->operations[index];
+      if (!operation.is_repeatable) {
+        entry.call.operation = &operation;
+      }
+    }
+    if (entry.call.operation == nullptr) {
+      return Fail(ErrorKind::kUnknownOperation,
+                  "the service has no at-most-once operation");
+    }
+    entry.call.view = view;
+    entry.call.team =
+        server::HeaderValue(entry.request.headers, server::kTeamHeader);
+    entry.call.caller =
+        server::HeaderValue(entry.request.headers, server::kCallerHeader);
+    if (view->budgets.count(entry.call.team) == 0) {
+      return Fail(ErrorKind::kMissingIdentity, "");
+    }
+    entry.call.criticality = entry.call.operation->criticality;
+    entry.call.root = RootId{this->random() | 1U, this->random()};
+    entry.call.deadline = entry.arrived + entry.call.operation->timeout;
+    entry.is_minting = true;
+    return {};
+  }
+
+  /// Checks that need no target: the budget for early repeats, and pressure
+  /// deeper in the chain.
+  void Begin(const EntryCallPointer& entry) {
+    const ClassifiedCall& call = entry->call;
+    entry->hash = HashOf(entry->request, call);
+    const control::ShedRank rank = control::RankOf(call.criticality, call.root);
+    if (call.parent.has_value()) {
+      const bool is_repeat =
+          this->shared.work.IsRepeat(*call.parent, entry->hash);
+      if (is_repeat && !this->shared.work.TakeRetry(*call.parent)) {
+        this->FinishError(entry, ErrorKind::kRetryGrantEmpty, Millis{-1});
+        return;
+      }
+      entry->grant.available = this->shared.work.Lend(*call.parent);
+    } else {
+      if (!this->TakeFromBudget(*entry)) {
+        this->FinishError(entry, ErrorKind::kRetryBudgetEmpty, Millis{-1});
+        return;
+      }
+      entry->grant.available = call.operation->retries;
+    }
+    const control::DownstreamLevel& deeper =
+        this->downstream[call.operation->name.Value()];
+    if (control::IsShedDownstream(entry->arrived, rank, deeper)) {
+      this->NoteDownstreamOfParent(*entry, deeper.level);
+      this->FinishError(entry, ErrorKind::kOverloaded,
+                        control::RetryAfter(deeper.level));
+      return;
+    }
+    this->Attempt(entry);
+  }
+
+  /// First attempts fill the team's budget, early repeats are taken from it.
+  bool TakeFromBudget(const EntryCall& entry) {
+    const ClassifiedCall& call = entry.call;
+    control::RetryBudget& budget = *call.view->budgets.at(call.team);
+    if (control::IsEarlyRepeat(entry.arrived, entry.hash, this->repeats)) {
+      return control::SpendRetry(budget);
+    }
+    const policy::TeamSpec& team =
+        call.view->in_force->bundle->teams.at(call.team);
+    control::EarnRetry({team.retry_ratio, team.retry_burst}, budget);
+    return true;
+  }
+
+  ServiceViews& ViewsOf(const std::string& service) {
+    const std::shared_ptr<const RoutingTable> table =
+        this->shared.routes.Read();
+    ServiceViews& views = this->views[service];
+    if (views.table != table) {
+      this->SyncViews(service, table, views);
+    }
+    return views;
+  }
+
+  /// Takes over a new routing table; what is known of targets that stay in the
+  /// same incarnation is kept.
+  void SyncViews(const std::string& service,
+                 const std::shared_ptr<const RoutingTable>& table,
+                 ServiceViews& views) {
+    std::vector<RouteEntry> routes;
+    if (table != nullptr) {
+      const auto found = table->by_service.find(service);
+      if (found != table->by_service.end()) {
+        routes = found->second;
+      }
+    }
+    std::vector<control::TargetView> targets(routes.size());
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+      for (std::size_t j = 0; j < views.routes.size(); ++j) {
+        const bool is_same =
+            views.routes[j].node == routes[i].node &&
+            views.routes[j].incarnation == routes[i].incarnation;
+        if (is_same) {
+          targets[i] = views.targets[j];
+        }
+      }
+      targets[i].is_own_zone = routes[i].is_own_zone;
+      targets[i].is_draining |= routes[i].is_draining;
+      targets[i].is_suspect = routes[i].is_suspect;
+      targets[i].slots = routes[i].slots;
+    }
+    views.table = table;
+    views.routes = std::move(routes);
+    views.targets = std::move(targets);
+  }
+
+  control::TargetView* FindView(const std::string& service,
+                                const std::string& node) {
+    ServiceViews& views = this->ViewsOf(service);
+    for (std::size_t i = 0; i < views.routes.size(); ++i) {
+      if (views.routes[i].node == node) {
+        return &views.targets[i];
+      }
+    }
+    return nullptr;
+  }
+
+  /// A key that a node minted is known to that node only.
+  std::string PinnedNode(const EntryCall& entry) const {
+    if (entry.call.key.empty()) {
+      return "";
+    }
+    const std::optional<control::MintedKey> minted =
+        control::ParseMintedKey(entry.call.key);
+    return minted.has_value() ? minted->node.Value() : "";
+  }
+
+  control::RouteChoice Choose(const EntryCall& entry, ServiceViews& views) {
+    const std::string pinned = this->PinnedNode(entry);
+    if (!pinned.empty()) {
+      control::RouteChoice choice;
+      choice.none.kind = ErrorKind::kDuplicate;
+      for (std::size_t i = 0; i < views.routes.size(); ++i) {
+        if (views.routes[i].node == pinned) {
+          choice.index = i;
+        }
+      }
+      return choice;
+    }
+    for (std::size_t i = 0; i < views.routes.size(); ++i) {
+      views.targets[i].is_tried =
+          std::find(entry.tried.begin(), entry.tried.end(),
+                    views.routes[i].node) != entry.tried.end();
+    }
+    const control::RoutingDraws draws{this->Draw(), this->Draw(), this->Draw(),
+                                      this->Draw()};
+    return control::ChooseTarget(
+        views.targets, MonotonicNow(),
+        control::RankOf(entry.call.criticality, entry.call.root), draws);
+  }
+
+  void Attempt(const EntryCallPointer& entry) {
+    ServiceViews& views = this->ViewsOf(entry->call.operation->service.Value());
+    const control::RouteChoice choice = this->Choose(*entry, views);
+    if (!choice.index.has_value()) {
+      this->NoteDownstreamOfParent(*entry, choice.none.level);
+      this->FinishError(entry, choice.none.kind,
+                        choice.none.level > 0
+                            ? control::RetryAfter(choice.none.level)
+                            : Millis{-1});
+      return;
+    }
+    this->SendTo(entry, views.routes[*choice.index],
+                 views.targets[*choice.index]);
+  }
+
+  void SendTo(const EntryCallPointer& entry,
+              const RouteEntry& route,
+              control::TargetView& view) {
+    const Millis now = MonotonicNow();
+    const Millis left = entry->call.deadline - now;
+    if (left <= Millis{0}) {
+      this->FinishError(entry, ErrorKind::kDeadlinePassed, Millis{-1});
+      return;
+    }
+    ++view.in_flight;
+    control::NoteSent(now, view.health);
+    ++entry->attempts;
+    entry->tried.push_back(route.node);
+    entry->target_node = route.node;
+    entry->lent = control::Lend(entry->grant);
+    entry->sent = PreciseNow();
+    entry->out = this->links.Send(
+        route.address, this->MakeCall(*entry, left), left + kAnswerGrace,
+        [weak = this->weak_from_this(), entry](wire::Answer answer) {
+          if (const std::shared_ptr<Impl> self = weak.lock()) {
+            self->OnAnswer(entry, std::move(answer));
+          }
+        });
+  }
+
+  wire::Call MakeCall(const EntryCall& entry, Millis left) const {
+    const ClassifiedCall& classified = entry.call;
+    wire::Call call;
+    call.service = classified.operation->service.Value();
+    call.operation = classified.operation->name.Value();
+    call.method = entry.request.method;
+    call.path = entry.request.target;
+    call.headers = entry.request.headers;
+    DropOwnHeaders(call.headers);
+    call.root = FormatRoot(classified.root);
+    call.timeout_ms = left.count;
+    call.criticality = static_cast<std::uint32_t>(classified.criticality);
+    call.depth = classified.depth;
+    call.grant = entry.lent;
+    call.team = classified.team;
+    call.caller = classified.caller;
+    call.key = classified.key;
+    call.is_recall = entry.is_recalling;
+    call.is_mint = entry.is_minting;
+    call.body = entry.request.body;
+    return call;
+  }
+
+  /// What an answer tells of its target, whatever becomes of the call.
+  void LearnFrom(const EntryCall& entry, const wire::Answer& answer) {
+    control::TargetView* view = this->FindView(
+        entry.call.operation->service.Value(), entry.target_node);
+    if (view == nullptr) {
+      return;
+    }
+    const Millis now = MonotonicNow();
+    const ErrorKind kind = ErrorKindFrom(answer.error);
+    view->in_flight -= std::min(view->in_flight, 1U);
+    const bool is_fault = IsTargetFault(kind);
+    const bool was_good = view->health.state == control::HealthState::kGood;
+    if (control::NoteHealth(now, is_fault, view->health)) {
+      LogEvent(kEventTargetSetAside, {{"target", entry.target_node}});
+    } else if (!was_good && view->health.state == control::HealthState::kGood) {
+      LogEvent(kEventTargetBack, {{"target", entry.target_node}});
+    }
+    const bool is_from_node =
+        kind != ErrorKind::kPeerLost && kind != ErrorKind::kPeerUnreachable;
+    if (is_from_node) {
+      view->level = answer.pressure;
+      view->level_time = now;
+      view->utilization = answer.utilization;
+      view->is_draining = answer.is_draining;
+    }
+    if (kind == ErrorKind::kNone) {
+      control::NoteLatency(LatencyMs{PreciseNow().count - entry.sent.count},
+                           *view);
+    }
+  }
+
+  void OnAnswer(const EntryCallPointer& entry, wire::Answer answer) {
+    if (entry->is_done) {
+      return;
+    }
+    entry->out.reset();
+    this->LearnFrom(*entry, answer);
+    control::GiveBack(entry->grant, entry->lent, answer.grant_back);
+    entry->attempts_below += answer.attempts > 0 ? answer.attempts - 1 : 0;
+    this->NoteDownstream(*entry, answer);
+    const ErrorKind kind = ErrorKindFrom(answer.error);
+    if (kind == ErrorKind::kNone) {
+      this->FinishAnswered(entry, std::move(answer));
+      return;
+    }
+    if (kind == ErrorKind::kDuplicate && this->Recall(entry, answer)) {
+      return;
+    }
+    this->RetryOrFinish(entry, kind, answer);
+  }
+
+  /// Another node won the key: it may know the answer.
+  bool Recall(const EntryCallPointer& entry, const wire::Answer& answer) {
+    if (entry->is_recalling || answer.winner.empty()) {
+      return false;
+    }
+    ServiceViews& views = this->ViewsOf(entry->call.operation->service.Value());
+    for (std::size_t i = 0; i < views.routes.size(); ++i) {
+      if (views.routes[i].node == answer.winner) {
+        entry->is_recalling = true;
+        this->SendTo(entry, views.routes[i], views.targets[i]);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void NoteDownstream(const EntryCall& entry, const wire::Answer& answer) {
+    if (this->downstream.size() > kMaxDownstream) {
+      this->downstream.clear();
+    }
+    control::NoteDownstreamLevel(
+        MonotonicNow(), answer.downstream,
+        this->downstream[entry.call.operation->name.Value()]);
+  }
+
+  void NoteDownstreamOfParent(const EntryCall& entry, std::uint32_t level) {
+    if (entry.call.parent.has_value() && level > 0) {
+      this->shared.work.NoteDownstream(*entry.call.parent, level);
+    }
+  }
+
+  bool HasOtherTarget(const EntryCall& entry) {
+    const ServiceViews& views =
+        this->ViewsOf(entry.call.operation->service.Value());
+    std::size_t usable = 0;
+    for (std::size_t i = 0; i < views.routes.size(); ++i) {
+      const bool is_tried =
+          std::find(entry.tried.begin(), entry.tried.end(),
+                    views.routes[i].node) != entry.tried.end();
+      usable += !is_tried && !views.targets[i].is_draining ? 1 : 0;
+    }
+    return usable > 0 && this->PinnedNode(entry).empty() && !entry.is_recalling;
+  }
+
+  void RetryOrFinish(const EntryCallPointer& entry,
+                     ErrorKind kind,
+                     const wire::Answer& answer) {
+    control::FailedAttempt failed;
+    failed.kind = kind;
+    failed.is_repeatable = entry->call.operation->is_repeatable;
+    failed.attempts = entry->attempts;
+    failed.left = entry->call.deadline - MonotonicNow();
+    failed.has_other_target = this->HasOtherTarget(*entry);
+    // Pressure deeper in the chain is the same behind every target.
+    const bool is_deeper = answer.downstream > 0;
+    const bool may_retry = !is_deeper && control::DecideRetry(failed) ==
+                                             control::RetryChoice::kRetry;
+    const Millis advice =
+        answer.retry_after_ms > 0 ? Millis{answer.retry_after_ms} : Millis{-1};
+    if (!may_retry) {
+      const std::uint32_t level =
+          kind == ErrorKind::kOverloaded ? answer.pressure : answer.downstream;
+      this->NoteDownstreamOfParent(*entry, level);
+      this->FinishError(entry, kind, advice);
+      return;
+    }
+    // A draining target refuses by plan; going elsewhere is not a retry.
+    const bool is_free = kind == ErrorKind::kDraining;
+    if (!is_free) {
+      control::RetryBudget& budget =
+          *entry->call.view->budgets.at(entry->call.team);
+      if (!control::TakeRetry(entry->grant) || !control::SpendRetry(budget)) {
+        this->FinishError(entry, kind, advice);
+        return;
+      }
+      ++entry->retries;
+    }
+    this->AttemptLater(
+        entry, is_free ? Millis{0}
+                       : control::RetryDelay(entry->attempts, this->Draw()));
+  }
+
+  void AttemptLater(const EntryCallPointer& entry, Millis delay) {
+    if (delay <= Millis{0}) {
+      this->Attempt(entry);
+      return;
+    }
+    entry->timer = std::make_unique<boost::asio::steady_timer>(
+        this->loop, std::chrono::milliseconds(delay.count));
+    entry->timer->async_wait([weak = this->weak_from_this(),
+                              entry](boost::system::error_code error) {
+      const std::shared_ptr<Impl> self = weak.lock();
+      if (!error && self != nullptr && !entry->is_done) {
+        self->Attempt(entry);
+      }
+    });
+  }
+
+  void FinishAnswered(const EntryCallPointer& entry, wire::Answer answer) {
+    const double took = PreciseNow().count - entry->started.count;
+    const double at_target =
+        static_cast<double>(answer.target_us) / kMicrosPerMilli;
+    this->added_time.Add(LatencyMs{took - at_target});
+    server::CallerAnswer out;
+    out.status = answer.status;
+    out.headers = std::move(answer.headers);
+    DropOwnHeaders(out.headers);
+    out.headers.push_back(
+        {server::kVerdictHeader, ToString(Verdict::kAnswered)});
+    out.headers.push_back(
+        {server::kAttemptsHeader,
+         std::to_string(entry->attempts + entry->attempts_below)});
+    // Of a root's grant, what is gone was spent, or lost with an answer.
+    const std::uint32_t granted = entry->call.parent.has_value()
+                                      ? entry->grant.available + entry->retries
+                                      : entry->call.operation->retries;
+    out.headers.push_back({server::kRetriesHeader,
+                           std::to_string(granted - entry->grant.available)});
+    out.body = std::move(answer.body);
+    this->Finish(entry, ErrorKind::kNone, std::move(out));
+  }
+
+  void FinishError(const EntryCallPointer& entry,
+                   ErrorKind kind,
+                   Millis retry_after) {
+    const ErrorKind honest = this->HonestKind(*entry, kind);
+    const ErrorAnswer& row = AnswerFor(honest);
+    const Millis advice =
+        retry_after >= Millis{0} ? retry_after : row.retry_after;
+    if (!entry->call.parent.has_value()) {
+      control::NoteFailedRequest(MonotonicNow(), entry->hash, advice,
+                                 row.verdict == Verdict::kOutcomeUnknown,
+                                 this->repeats);
+    }
+    this->Finish(entry, honest, server::ErrorToAnswer(honest, retry_after, ""));
+  }
+
+  /// A key whose earlier use has an unknown outcome must not be called not run
+  /// because of what happened to this try.
+  ErrorKind HonestKind(const EntryCall& entry, ErrorKind kind) const {
+    const bool is_earlier_unknown =
+        !entry.call.key.empty() &&
+        (entry.call.is_declared_repeat ||
+         control::WasUnknown(entry.arrived, entry.hash, this->repeats));
+    const bool is_not_run = AnswerFor(kind).verdict == Verdict::kNotRun;
+    return is_earlier_unknown && is_not_run ? ErrorKind::kDuplicate : kind;
+  }
+
+  void Finish(const EntryCallPointer& entry,
+              ErrorKind kind,
+              server::CallerAnswer answer) {
+    if (entry->is_done) {
+      return;
+    }
+    entry->is_done = true;
+    const std::uint32_t status = answer.status;
+    this->Account(*entry, kind, status);
+    entry->exchange->Send(std::move(answer));
+    this->Leave();
+  }
+
+  void Leave() {
+    this->shared.calls_open.fetch_sub(1);
+    --this->open_calls;
+  }
+
+  /// Grant, metering and figures at the end of a call.
+  void Account(const EntryCall& entry, ErrorKind kind, std::uint32_t status) {
+    const ClassifiedCall& call = entry.call;
+    if (call.parent.has_value()) {
+      control::WorkTable& work = this->shared.work;
+      work.GiveBack(*call.parent, entry.grant.available);
+      work.NoteAttempts(*call.parent, entry.attempts + entry.attempts_below);
+      if (kind != ErrorKind::kNone) {
+        work.NoteFailure(*call.parent, entry.hash);
+      }
+    }
+    if (entry.is_minting) {
+      return;
+    }
+    control::CountCall(this->UsageOf(call), kind, entry.retries, this->usage);
+    const double took = PreciseNow().count - entry.started.count;
+    this->call_time.Add(LatencyMs{took});
+    if (this->recorder.IsOn()) {
+      TraceCall trace;
+      trace.arrived = entry.arrived;
+      trace.took = LatencyMs{took};
+      trace.root = FormatRoot(call.root);
+      trace.operation = call.operation->name.Value();
+      trace.team = call.team;
+      trace.criticality = static_cast<std::uint32_t>(call.criticality);
+      trace.depth = call.depth;
+      trace.outcome = kind;
+      trace.status = status;
+      trace.attempts = entry.attempts + entry.attempts_below;
+      this->recorder.Record(trace);
+    }
+  }
+
+  static control::UsageKey UsageOf(const ClassifiedCall& call) {
+    return control::UsageKey{call.team, call.operation->name.Value(),
+                             call.criticality, call.parent.has_value()};
+  }
+
+  /// The request was not understood. A known team is metered all the same, so
+  /// that its own counts and ours agree.
+  void FinishUnclassified(const EntryCall& entry, const Failure& failure) {
+    const std::string& team =
+        server::HeaderValue(entry.request.headers, server::kTeamHeader);
+    const bool is_declared_repeat =
+        !server::HeaderValue(entry.request.headers, server::kRepeatHeader)
+             .empty();
+    const ErrorKind kind =
+        failure.kind == ErrorKind::kKeyExpired && is_declared_repeat
+            ? ErrorKind::kDuplicate
+            : failure.kind;
+    const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
+    const bool is_known = view != nullptr && view->budgets.count(team) != 0;
+    control::CountCall(control::UsageKey{is_known ? team : "unknown", "none",
+                                         Criticality::kNormal, false},
+                       kind, 0, this->usage);
+    entry.exchange->Send(
+        server::ErrorToAnswer(kind, Millis{-1}, failure.detail));
+    this->Leave();
+  }
+
+  void OnCallerGone(const EntryCallPointer& entry) {
+    if (entry->is_done) {
+      return;
+    }
+    entry->is_done = true;
+    entry->timer.reset();
+    if (entry->out.has_value()) {
+      this->links.Cancel(*entry->out);
+      control::TargetView* view = this->FindView(
+          entry->call.operation->service.Value(), entry->target_node);
+      if (view != nullptr) {
+        view->in_flight -= std::min(view->in_flight, 1U);
+      }
+      control::CountWasted(UsageOf(entry->call), this->usage);
+    }
+    this->Account(*entry, ErrorKind::kCancelled, 0);
+    this->Leave();
+  }
+
+  boost::asio::io_context& loop;
+  SharedState& shared;
+  TraceRecorder& recorder;
+  mesh::PeerLinks links;
+  control::CallerRepeats repeats;
+  std::mt19937_64 random;
+  std::unordered_map<std::string, ServiceViews> views;
+  std::unordered_map<std::string, control::DownstreamLevel> downstream;
+  control::UsageTable usage;
+  LatencyRecorder call_time;
+  LatencyRecorder added_time;
+  std::size_t open_calls = 0;
+};
+
+EntryLoop::EntryLoop(boost::asio::io_context& loop,
+                     SharedState& shared,
+                     TraceRecorder& recorder,
+                     std::size_t index)
+    : impl(std::make_shared<Impl>(loop, shared, recorder, index)) {}
+
+EntryLoop::~EntryLoop() = default;
+
+void EntryLoop::Handle(server::CallerRequest request,
+                       std::shared_ptr<server::CallerExchange> exchange) {
+  this->impl->Handle(std::move(request), std::move(exchange));
+}
+
+void EntryLoop::Close() {
+  this->impl->Close();
+}
+
+EntryReport EntryLoop::Report() const {
+  return this->impl->Report();
+}
+
+}  // namespace almondlink::daemon
--- /dev/null
+++ b/almondlinkd/shared_state.cc
@@ -0,0 +1,47 @@
+#include "almondlinkd/shared_state.h"
+
+namespace almondlink::daemon {
+
+std::shared_ptr<const RoutingTable> BuildRoutes(
+    const control::Membership& membership,
+    const std::string& own_zone) {
+  const auto table = std::make_shared<RoutingTable>();
+  for (const auto& [node, entry] : membership.members) {
+    const wire::Member& member = entry.member;
+    const bool is_living = member.state <= static_cast<std::uint32_t>(
+                                               control::MemberState::kSuspect);
+    if (!is_living || member.service.empty()) {
+      continue;
+    }
+    RouteEntry route;
+    route.node = member.node;
+    route.incarnation = member.incarnation;
+    route.address = member.address;
+    route.is_own_zone = member.zone == own_zone;
+    route.is_draining = member.is_draining;
+    route.is_suspect = member.state == static_cast<std::uint32_t>(
+                                           control::MemberState::kSuspect);
+    route.slots = member.slots;
+    table->by_service[member.service].push_back(std::move(route));
+  }
+  return table;
+}
+
+std::shared_ptr<const BundleView> BuildBundleView(
+    const std::shared_ptr<const policy::InForce>& in_force,
+    const std::shared_ptr<const BundleView>& before) {
+  const auto view = std::make_shared<BundleView>();
+  view->in_force = in_force;
+  for (const auto& [name, team] : in_force->bundle->teams) {
+    if (before != nullptr && before->budgets.count(name) != 0) {
+      view->budgets[name] = before->budgets.at(name);
+      continue;
+    }
+    const auto budget = std::make_shared<control::RetryBudget>();
+    control::FillBudget({team.retry_ratio, team.retry_burst}, *budget);
+    view->budgets[name] = budget;
+  }
+  return view;
+}
+
+}  // namespace almondlink::daemon
--- /dev/null
+++ b/libs/base/include/almondlink/base/clock.h
@@ -0,0 +1,61 @@
+#ifndef ALMONDLINK_BASE_CLOCK_H_
+#define ALMONDLINK_BASE_CLOCK_H_
+
+#include <cstdint>
+
+/// The one clock type of almondlink. All times and durations are whole
+/// milliseconds; only latency samples are fractions (`LatencyMs`).
+namespace almondlink {
+
+/// A duration, or a point in time as the duration since an epoch.
+struct Millis {
+  std::int64_t count = 0;
+
+  friend constexpr bool operator==(Millis a, Millis b) {
+    return a.count == b.count;
+  }
+  friend constexpr bool operator!=(Millis a, Millis b) {
+    return a.count != b.count;
+  }
+  friend constexpr bool operator<(Millis a, Millis b) {
+    return a.count < b.count;
+  }
+  friend constexpr bool operator<=(Millis a, Millis b) {
+    return a.count <= b.count;
+  }
+  friend constexpr bool operator>(Millis a, Millis b) {
+    return a.count > b.count;
+  }
+  friend constexpr bool operator>=(Millis a, Millis b) {
+    return a.count >= b.count;
+  }
+  friend constexpr Millis operator+(Millis a, Millis b) {
+    return Millis{a.count + b.count};
+  }
+  friend constexpr Millis operator-(Millis a, Millis b) {
+    return Millis{a.count - b.count};
+  }
+  friend constexpr Millis operator*(Millis a, std::int64_t factor) {
+    return Millis{a.count * factor};
+  }
+};
+
+/// A measured latency in milliseconds, with fractions.
+struct LatencyMs {
+  double count = 0;
+};
+
+/// Milliseconds of the monotonic clock. Thread safe.
+Millis MonotonicNow();
+
+/// Milliseconds since 1970 of the wall clock; used only where records of
+/// several hosts are compared. Thread safe.
+Millis WallNow();
+
+/// Monotonic time in milliseconds with fractions, for latency samples. Thread
+/// safe.
+LatencyMs PreciseNow();
+
+}  // namespace almondlink
+
+#endif  // ALMONDLINK_BASE_CLOCK_H_
--- /dev/null
+++ b/libs/control/include/almondlink/control/target_health.h
@@ -0,0 +1,45 @@
+#ifndef ALMONDLINK_CONTROL_TARGET_HEALTH_H_
+#define ALMONDLINK_CONTROL_TARGET_HEALTH_H_
+
+#include <cstdint>
+
+#include "almondlink/base/clock.h"
+
+/// Outlier targets are set aside by the outcomes that this node saw itself;
+/// what a target reports of its health is never asked. A target set aside is
+/// tried again after a wait that doubles up to a limit, by one request at a
+/// time, until a few succeed.
+namespace almondlink::control {
+
+enum class HealthState { kGood, kSetAside, kTrying };
+
+/// State of one target at one node. Plain data; one thread at a time.
+struct TargetHealth {
+  HealthState state = HealthState::kGood;
+  std::uint32_t failures_in_row = 0;
+  std::uint32_t successes_in_row = 0;
+  std::uint32_t times_set_aside = 0;
+  Millis until;
+  bool is_trial_out = false;
+  /// When the trial went out; one that never came back does not block.
+  Millis trial_sent;
+};
+
+/// Takes one outcome: `is_failure` means the target or its node failed (lost,
+/// unreachable, timed out, bad answer), not that it refused. True if the target
+/// was set aside by it.
+bool NoteHealth(Millis now, bool is_failure, TargetHealth& health);
+
+/// Whether the target may get a request now.
+bool MayUse(Millis now, const TargetHealth& health);
+
+/// Notes that a request is sent to it.
+void NoteSent(Millis now, TargetHealth& health);
+
+/// Most targets of a service that may be set aside at once; with more, the
+/// cause is likely shared and setting aside only concentrates load.
+std::size_t MostSetAside(std::size_t targets);
+
+}  // namespace almondlink::control
+
+#endif  // ALMONDLINK_CONTROL_TARGET_HEALTH_H_
--- /dev/null
+++ b/libs/control/src/admission.cc
@@ -0,0 +1,228 @@
+#include "almondlink/control/admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <tuple>
+
+namespace almondlink::control {
+
+namespace {
+
+/// Longest queue, in multiples of the limit, before service times are known.
+constexpr std::uint32_t kQueuePerPlace = 4;
+constexpr std::uint32_t kShortestQueue = 16;
+constexpr std::uint32_t kThousand = 1000;
+
+/// Requests that can be served within the longest wait.
+std::size_t QueueCapacity(const AdmissionRules& rules,
+                          std::uint32_t limit,
+                          const Admission& admission) {
+  const double mean = admission.service_time.mean;
+  double turns = kQueuePerPlace;
+  if (mean > 0) {
+    turns = static_cast<double>(rules.queue_limit.count) / mean;
+  }
+  const double capacity = std::min(turns, 64.0) * limit;
+  return std::max<std::size_t>(kShortestQueue,
+                               static_cast<std::size_t>(capacity));
+}
+
+bool HasRoom(const AdmissionRules& rules,
+             Millis now,
+             const Admission& admission) {
+  return admission.in_flight < CurrentLimit(rules.limit, now, admission.limit);
+}
+
+void RemoveFirst(Admission& admission) {
+  const auto first = admission.queue.begin();
+  admission.waiting.erase(first->second.request.ticket);
+  admission.queue.erase(first);
+}
+
+/// Why a request cannot be dispatched any more, or kNone.
+ErrorKind StaleKind(const AdmissionRules& rules,
+                    Millis now,
+                    const QueueEntry& entry,
+                    const Admission& admission) {
+  if (entry.request.deadline <= now) {
+    return ErrorKind::kDeadlinePassed;
+  }
+  if (!CanFinish(now, entry.request.deadline, 0, 1, admission.service_time)) {
+    return ErrorKind::kDeadlineUnmeetable;
+  }
+  if (now - entry.arrived > rules.queue_limit) {
+    return ErrorKind::kOverloaded;
+  }
+  return ErrorKind::kNone;
+}
+
+/// Fills free places from the queue.
+void Fill(const AdmissionRules& rules,
+          Millis now,
+          Admission& admission,
+          AdmissionStep& step) {
+  while (!admission.queue.empty() && HasRoom(rules, now, admission)) {
+    const QueueEntry entry = admission.queue.begin()->second;
+    RemoveFirst(admission);
+    const ErrorKind stale = StaleKind(rules, now, entry, admission);
+    if (stale != ErrorKind::kNone) {
+      NoteExpired(admission.pressure);
+      step.refuse.push_back(Refusal{entry.request.ticket, stale});
+      continue;
+    }
+    NoteDequeue(now - entry.arrived, admission.pressure);
+    ++admission.in_flight;
+    step.dispatch.push_back(entry.request.ticket);
+  }
+}
+
+void Update(const AdmissionRules& rules,
+            Millis now,
+            Admission& admission,
+            AdmissionStep& step) {
+  const bool is_busy = !HasRoom(rules, now, admission);
+  step.is_pressure_changed |=
+      UpdatePressure(rules.queue_target, now, is_busy, admission.pressure);
+}
+
+void Enqueue(Millis now,
+             const AdmissionRequest& request,
+             Admission& admission) {
+  const QueueOrder order{request.criticality, request.depth, request.rank,
+                         ++admission.arrivals};
+  admission.queue.emplace(order, QueueEntry{request, now});
+  admission.waiting.emplace(request.ticket, order);
+}
+
+/// Evicts the last of the order while the queue is too long.
+void Trim(const AdmissionRules& rules,
+          Millis now,
+          Admission& admission,
+          AdmissionStep& step) {
+  const std::uint32_t limit = CurrentLimit(rules.limit, now, admission.limit);
+  const std::size_t capacity = QueueCapacity(rules, limit, admission);
+  while (admission.queue.size() > capacity) {
+    const auto last = std::prev(admission.queue.end());
+    const Ticket ticket = last->second.request.ticket;
+    admission.waiting.erase(ticket);
+    admission.queue.erase(last);
+    NoteExpired(admission.pressure);
+    step.refuse.push_back(Refusal{ticket, ErrorKind::kOverloaded});
+  }
+}
+
+}  // namespace
+
+bool operator<(const QueueOrder& a, const QueueOrder& b) {
+  return std::make_tuple(a.criticality, -static_cast<std::int64_t>(a.depth),
+                         a.rank.Value(), a.arrival) <
+         std::make_tuple(b.criticality, -static_cast<std::int64_t>(b.depth),
+                         b.rank.Value(), b.arrival);
+}
+
+void StartAdmission(const AdmissionRules& rules,
+                    Millis now,
+                    Admission& admission) {
+  admission = Admission{};
+  StartLimit(rules.limit, now, admission.limit);
+  admission.pressure.window_start = now;
+}
+
+AdmissionStep Offer(const AdmissionRules& rules,
+                    Millis now,
+                    const AdmissionRequest& request,
+                    Admission& admission) {
+  AdmissionStep step;
+  NoteArrival(request.rank, admission.pressure);
+  Update(rules, now, admission, step);
+  if (request.deadline <= now) {
+    step.refuse.push_back(Refusal{request.ticket, ErrorKind::kDeadlinePassed});
+    return step;
+  }
+  if (!IsBelowThreshold(request.rank, admission.pressure)) {
+    step.refuse.push_back(Refusal{request.ticket, ErrorKind::kOverloaded});
+    return step;
+  }
+  const std::uint32_t limit = CurrentLimit(rules.limit, now, admission.limit);
+  const bool can_finish =
+      CanFinish(now, request.deadline, 0, limit, admission.service_time);
+  if (!can_finish) {
+    step.refuse.push_back(
+        Refusal{request.ticket, ErrorKind::kDeadlineUnmeetable});
+    return step;
+  }
+  Enqueue(now, request, admission);
+  Fill(rules, now, admission, step);
+  Trim(rules, now, admission, step);
+  return step;
+}
+
+AdmissionStep Complete(const AdmissionRules& rules,
+                       Millis now,
+                       LatencyMs latency,
+                       Outcome outcome,
+                       Admission& admission) {
+  assert(admission.in_flight > 0);
+  AdmissionStep step;
+  NoteOutcome(rules.limit, now, latency, outcome, admission.in_flight,
+              admission.limit);
+  if (outcome == Outcome::kSuccess) {
+    NoteServiceTime(now, latency, admission.service_time);
+  }
+  NoteCompletion(admission.pressure);
+  Update(rules, now, admission, step);
+  --admission.in_flight;
+  Fill(rules, now, admission, step);
+  return step;
+}
+
+AdmissionStep Release(const AdmissionRules& rules,
+                      Millis now,
+                      Admission& admission) {
+  assert(admission.in_flight > 0);
+  AdmissionStep step;
+  --admission.in_flight;
+  Fill(rules, now, admission, step);
+  return step;
+}
+
+bool Withdraw(Ticket ticket, Admission& admission) {
+  const auto found = admission.waiting.find(ticket);
+  if (found == admission.waiting.end()) {
+    return false;
+  }
+  admission.queue.erase(found->second);
+  admission.waiting.erase(found);
+  return true;
+}
+
+AdmissionStep Tick(const AdmissionRules& rules,
+                   Millis now,
+                   Admission& admission) {
+  AdmissionStep step;
+  for (auto it = admission.queue.begin(); it != admission.queue.end();) {
+    const ErrorKind stale = StaleKind(rules, now, it->second, admission);
+    if (stale == ErrorKind::kNone) {
+      ++it;
+      continue;
+    }
+    const Ticket ticket = it->second.request.ticket;
+    admission.waiting.erase(ticket);
+    it = admission.queue.erase(it);
+    NoteExpired(admission.pressure);
+    step.refuse.push_back(Refusal{ticket, stale});
+  }
+  Update(rules, now, admission, step);
+  Fill(rules, now, admission, step);
+  return step;
+}
+
+std::uint32_t Utilization(const AdmissionRules& rules,
+                          Millis now,
+                          const Admission& admission) {
+  const std::uint32_t limit = CurrentLimit(rules.limit, now, admission.limit);
+  return std::min(kThousand, admission.in_flight * kThousand / limit);
+}
+
+}  // namespace almondlink::control
--- /dev/null
+++ b/libs/control/src/claims.cc
@@ -0,0 +1,74 @@
+#include "almondlink/control/claims.h"
+
+#include "almondlink/control/idempotency_key.h"
+
+namespace almondlink::control {
+
+void StartClaims(std::uint64_t first_retained,
+                 Millis wall_now,
+                 Claims& claims) {
+  if (first_retained <= claims.next_offset) {
+    return;
+  }
+  // At the very start the log's retention, checked against the key lifetime by
+  // the caller, covers every key that is still accepted. A gap later on means
+  // that records passed unread.
+  const bool is_start = claims.next_offset == 0;
+  if (!is_start) {
+    claims.has_gap = true;
+    claims.blind_before = wall_now + kClockSkew;
+  }
+  claims.next_offset = first_retained;
+}
+
+void ApplyClaims(std::uint64_t offset,
+                 const wire::ClaimBatch& batch,
+                 Millis now,
+                 Claims& claims) {
+  if (offset < claims.next_offset) {
+    return;
+  }
+  claims.next_offset = offset + 1;
+  if (!claims.records.insert(batch.record_id).second) {
+    return;
+  }
+  claims.record_order.emplace_back(batch.record_id, now);
+  for (const std::string& key : batch.keys) {
+    const Claim claim{NodeId(batch.node), Incarnation(batch.incarnation),
+                      offset, now};
+    if (claims.by_key.emplace(key, claim).second) {
+      claims.order.push_back(key);
+    }
+  }
+}
+
+const Claim* FindClaim(const std::string& key, const Claims& claims) {
+  const auto found = claims.by_key.find(key);
+  return found == claims.by_key.end() ? nullptr : &found->second;
+}
+
+bool HasRecord(const std::string& record_id, const Claims& claims) {
+  return claims.records.count(record_id) != 0;
+}
+
+void ForgetClaims(Millis now, Millis age, Claims& claims) {
+  while (!claims.order.empty()) {
+    const auto oldest = claims.by_key.find(claims.order.front());
+    if (oldest != claims.by_key.end() && now - oldest->second.seen <= age) {
+      break;
+    }
+    claims.by_key.erase(claims.order.front());
+    claims.order.pop_front();
+  }
+  while (!claims.record_order.empty() &&
+         now - claims.record_order.front().second > age) {
+    claims.records.erase(claims.record_order.front().first);
+    claims.record_order.pop_front();
+  }
+}
+
+bool CanDecide(Millis made, const Claims& claims) {
+  return !claims.has_gap || made >= claims.blind_before;
+}
+
+}  // namespace almondlink::control
--- /dev/null
+++ b/libs/control/src/concurrency_limit.cc
@@ -0,0 +1,165 @@
+#include "almondlink/control/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondlink::control {
+
+namespace {
+
+/// Share of a cold target's slots that it gets at once.
+constexpr double kColdShare = 0.2;
+/// Share by which a window of failures lowers the limit.
+constexpr double kFailureCut = 0.85;
+/// Weight of a new window in the baseline when latency is near it.
+constexpr double kBaselineGain = 0.1;
+/// In-flight share of the limit from which it counts as used.
+constexpr double kUsedShare = 0.8;
+
+/// One window's figures.
+struct Window {
+  double latency = 0;
+  double rate = 0;
+  double failure_share = 0;
+  bool is_used = false;
+};
+
+Window CloseWindow(Millis now, ConcurrencyLimit& limit) {
+  Window window;
+  const double span = std::max<double>(
+      1, static_cast<double>((now - limit.window_start).count));
+  window.latency = limit.latency_sum / limit.samples;
+  window.rate = limit.samples / span;
+  window.failure_share = static_cast<double>(limit.failures) / limit.samples;
+  window.is_used = limit.most_in_flight >= kUsedShare * limit.limit;
+  limit.last_rate = window.rate;
+  limit.window_start = now;
+  limit.samples = 0;
+  limit.failures = 0;
+  limit.latency_sum = 0;
+  limit.most_in_flight = 0;
+  return window;
+}
+
+void Grow(const LimitRules& rules, ConcurrencyLimit& limit) {
+  const double step = std::max(1.0, std::sqrt(limit.limit) / 2);
+  limit.limit = std::min<double>(rules.slots, limit.limit + step);
+}
+
+void StartTrial(const LimitRules& rules,
+                const Window& window,
+                ConcurrencyLimit& limit) {
+  limit.phase = LimitPhase::kSettle;
+  limit.rate_before = window.rate;
+  limit.latency_before = window.latency;
+  limit.limit_before = limit.limit;
+  limit.limit = std::max(1.0, limit.limit * rules.cut);
+}
+
+void JudgeTrial(const LimitRules& rules,
+                Millis now,
+                const Window& window,
+                ConcurrencyLimit& limit) {
+  limit.phase = LimitPhase::kSteady;
+  // By Little's law a rate that holds with fewer in flight is a lower latency;
+  // the rate alone decides, since latencies still carry the time before the
+  // cut.
+  const bool is_harmless = window.rate >= rules.harmless * limit.rate_before;
+  if (is_harmless) {
+    limit.trial_wait = rules.first_wait;
+    limit.next_trial = now;
+    return;
+  }
+  limit.limit = limit.limit_before;
+  limit.baseline = limit.latency_before;
+  limit.next_trial = now + limit.trial_wait;
+  limit.trial_wait = std::min(rules.last_wait, limit.trial_wait * 2);
+}
+
+void JudgeSteady(const LimitRules& rules,
+                 Millis now,
+                 const Window& window,
+                 ConcurrencyLimit& limit) {
+  if (window.failure_share > rules.failure_share) {
+    limit.limit = std::max(1.0, limit.limit * kFailureCut);
+    return;
+  }
+  if (limit.baseline == 0 || window.latency < limit.baseline) {
+    limit.baseline = window.latency;
+  }
+  const bool is_slow = window.latency > limit.baseline * rules.tolerance;
+  if (!is_slow) {
+    limit.trial_wait = rules.first_wait;
+    if (window.is_used) {
+      Grow(rules, limit);
+    } else {
+      // Only latency without queueing may move the baseline up by itself: with
+      // the limit in use each growth would raise both, step by step.
+      limit.baseline += (window.latency - limit.baseline) * kBaselineGain;
+    }
+    return;
+  }
+  const bool may_try =
+      window.is_used && now >= limit.next_trial && limit.limit > 1;
+  if (may_try) {
+    StartTrial(rules, window, limit);
+  }
+}
+
+}  // namespace
+
+void StartLimit(const LimitRules& rules, Millis now, ConcurrencyLimit& limit) {
+  limit = ConcurrencyLimit{};
+  limit.limit = rules.slots;
+  limit.started = now;
+  limit.window_start = now;
+  limit.trial_wait = rules.first_wait;
+}
+
+void NoteOutcome(const LimitRules& rules,
+                 Millis now,
+                 LatencyMs latency,
+                 Outcome outcome,
+                 std::uint32_t in_flight,
+                 ConcurrencyLimit& limit) {
+  ++limit.samples;
+  limit.latency_sum += latency.count;
+  limit.most_in_flight = std::max(limit.most_in_flight, in_flight);
+  if (outcome == Outcome::kFailure) {
+    ++limit.failures;
+  }
+  const bool is_open = now - limit.window_start < rules.window ||
+                       limit.samples < rules.min_samples;
+  if (is_open) {
+    return;
+  }
+  const Window window = CloseWindow(now, limit);
+  switch (limit.phase) {
+    case LimitPhase::kSteady:
+      JudgeSteady(rules, now, window, limit);
+      break;
+    case LimitPhase::kSettle:
+      // Requests that started before the cut are still ending.
+      limit.phase = LimitPhase::kTrial;
+      break;
+    case LimitPhase::kTrial:
+      JudgeTrial(rules, now, window, limit);
+      break;
+  }
+}
+
+std::uint32_t CurrentLimit(const LimitRules& rules,
+                           Millis now,
+                           const ConcurrencyLimit& limit) {
+  double allowed = std::min<double>(limit.limit, rules.slots);
+  const Millis age = now - limit.started;
+  if (age < rules.slow_start) {
+    const double grown = static_cast<double>(age.count) /
+                         static_cast<double>(rules.slow_start.count);
+    const double share = kColdShare + (1 - kColdShare) * grown;
+    allowed = std::min(allowed, rules.slots * share);
+  }
+  return static_cast<std::uint32_t>(std::max(1.0, std::floor(allowed)));
+}
+
+}  // namespace almondlink::control
--- /dev/null
+++ b/libs/control/src/service_time.cc
@@ -0,0 +1,47 @@
+#include "almondlink/control/service_time.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondlink::control {
+
+namespace {
+
+constexpr double kGain = 0.1;
+/// Samples before an estimate is trusted.
+constexpr std::uint64_t kTrusted = 10;
+
+}  // namespace
+
+void NoteServiceTime(Millis now, LatencyMs sample, ServiceTime& estimate) {
+  ++estimate.samples;
+  estimate.last_sample = now;
+  if (estimate.samples == 1) {
+    estimate.mean = sample.count;
+    return;
+  }
+  const double error = sample.count - estimate.mean;
+  estimate.mean += kGain * error;
+  estimate.deviation += kGain * (std::abs(error) - estimate.deviation);
+}
+
+LatencyMs LikelyAtLeast(Millis now, const ServiceTime& estimate) {
+  const bool is_old = now - estimate.last_sample > kEstimateLife;
+  if (is_old || estimate.samples < kTrusted) {
+    return LatencyMs{0};
+  }
+  return LatencyMs{std::max(0.0, estimate.mean - estimate.deviation)};
+}
+
+bool CanFinish(Millis now,
+               Millis deadline,
+               std::uint32_t ahead,
+               std::uint32_t limit,
+               const ServiceTime& estimate) {
+  const double least = LikelyAtLeast(now, estimate).count;
+  const double turns = static_cast<double>(ahead) / std::max(1U, limit);
+  const double left = static_cast<double>((deadline - now).count);
+  return left > 0 && least * (turns + 1) <= left;
+}
+
+}  // namespace almondlink::control
--- /dev/null
+++ b/libs/control/tests/admission_test.cc
@@ -0,0 +1,244 @@
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+#include "almondlink/control/admission.h"
+
+namespace almondlink::control {
+namespace {
+
+AdmissionRequest Make(std::uint64_t ticket, Criticality criticality) {
+  AdmissionRequest request;
+  request.ticket = Ticket(ticket);
+  request.criticality = criticality;
+  request.rank = RankOf(criticality, RootId{ticket, ticket * 7919});
+  request.deadline = Millis{1'000'000};
+  return request;
+}
+
+AdmissionRules SmallRules() {
+  AdmissionRules rules;
+  rules.limit.slots = 4;
+  rules.limit.slow_start = Millis{0};
+  return rules;
+}
+
+bool IsRefused(const AdmissionStep& step, std::uint64_t ticket) {
+  for (const Refusal& refusal : step.refuse) {
+    if (refusal.ticket == Ticket(ticket)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST_CASE("a full queue evicts the least valued first") {
+  const AdmissionRules rules = SmallRules();
+  Admission admission;
+  StartAdmission(rules, Millis{0}, admission);
+  std::uint64_t ticket = 0;
+  std::vector<std::uint64_t> sheddable;
+  for (int i = 0; i < 20; ++i) {
+    Offer(rules, Millis{0}, Make(++ticket, Criticality::kSheddable), admission);
+  }
+  int refused_critical = 0;
+  int refused_other = 0;
+  for (int i = 0; i < 16; ++i) {
+    const std::uint64_t critical = ++ticket;
+    const AdmissionStep step = Offer(
+        rules, Millis{1}, Make(critical, Criticality::kCritical), admission);
+    refused_critical += IsRefused(step, critical) ? 1 : 0;
+    refused_other += static_cast<int>(step.refuse.size());
+  }
+  REQUIRE(refused_critical == 0);
+  REQUIRE(refused_other == 16);
+}
+
+TEST_CASE("never is a valued class refused while a lesser one is dispatched") {
+  // Random arrivals far above capacity; at every dispatch no more valued
+  // request waits.
+  const AdmissionRules rules = SmallRules();
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937_64 random(seed);
+    Admission admission;
+    StartAdmission(rules, Millis{0}, admission);
+    std::map<Ticket, Criticality> classes;
+    std::uint64_t ticket = 0;
+    for (int time = 0; time < 3000; ++time) {
+      const auto check = [&](const AdmissionStep& step) {
+        for (const Ticket dispatched : step.dispatch) {
+          for (const auto& [order, entry] : admission.queue) {
+            REQUIRE(order.criticality >= classes[dispatched]);
+          }
+        }
+      };
+      for (int i = 0; i < 3; ++i) {
+        const auto criticality = static_cast<Criticality>(random() % 4);
+        ++ticket;
+        classes[Ticket(ticket)] = criticality;
+        check(Offer(rules, Millis{time}, Make(ticket, criticality), admission));
+      }
+      if (admission.in_flight > 0 && time % 2 == 0) {
+        check(Complete(rules, Millis{time}, LatencyMs{8}, Outcome::kSuccess,
+                       admission));
+      }
+    }
+  }
+}
+
+TEST_CASE("a request that cannot finish in time is refused before work") {
+  AdmissionRules rules = SmallRules();
+  Admission admission;
+  StartAdmission(rules, Millis{0}, admission);
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    Offer(rules, Millis{0}, Make(i, Criticality::kNormal), admission);
+    Complete(rules, Millis{0}, LatencyMs{100}, Outcome::kSuccess, admission);
+  }
+  AdmissionRequest request = Make(100, Criticality::kCritical);
+  request.deadline = Millis{50};
+  const AdmissionStep step = Offer(rules, Millis{0}, request, admission);
+  REQUIRE(step.refuse.size() == 1);
+  REQUIRE(step.refuse[0].kind == ErrorKind::kDeadlineUnmeetable);
+  // Without new samples the estimate is given up, or nothing would ever be
+  // tried again.
+  request.ticket = Ticket(101);
+  request.deadline = Millis{450};
+  const AdmissionStep later = Offer(rules, Millis{400}, request, admission);
+  REQUIRE(later.dispatch.size() == 1);
+}
+
+TEST_CASE("waiting requests end by an honest refusal") {
+  const AdmissionRules rules = SmallRules();
+  Admission admission;
+  StartAdmission(rules, Millis{0}, admission);
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    Offer(rules, Millis{0}, Make(i, Criticality::kNormal), admission);
+  }
+  REQUIRE(admission.queue.size() == 1);
+  const AdmissionStep step = Tick(rules, Millis{200}, admission);
+  REQUIRE(step.refuse.size() == 1);
+  REQUIRE(step.refuse[0].kind == ErrorKind::kOverloaded);
+  REQUIRE(admission.queue.empty());
+  REQUIRE(admission.waiting.empty());
+}
+
+/// A target with room for `room` requests at once and a FIFO queue of its own.
+struct FakeTarget {
+  double service_ms = 10;
+  std::size_t room = 8;
+  std::deque<double> ends;
+
+  double Start(double now) {
+    std::sort(this->ends.begin(), this->ends.end());
+    double begin = now;
+    if (this->ends.size() >= this->room) {
+      begin = std::max(now, this->ends[this->ends.size() - this->room]);
+    }
+    this->ends.push_back(begin + this->service_ms);
+    return begin + this->service_ms;
+  }
+};
+
+/// Drives a limit with unbounded demand for `span` ms; returns completions.
+int Drive(const LimitRules& rules,
+          FakeTarget& target,
+          double& now,
+          double span,
+          ConcurrencyLimit& limit) {
+  std::multimap<double, double> running;
+  const double until = now + span;
+  int completed = 0;
+  while (now < until) {
+    const Millis time{static_cast<std::int64_t>(now)};
+    while (running.size() < CurrentLimit(rules, time, limit)) {
+      running.emplace(target.Start(now), now);
+    }
+    const double end = running.begin()->first;
+    const double begun = running.begin()->second;
+    now = end;
+    NoteOutcome(rules, Millis{static_cast<std::int64_t>(now)},
+                LatencyMs{end - begun}, Outcome::kSuccess,
+                static_cast<std::uint32_t>(running.size()), limit);
+    running.erase(running.begin());
+    while (!target.ends.empty() && target.ends.front() <= now) {
+      target.ends.pop_front();
+    }
+    ++completed;
+  }
+  return completed;
+}
+
+TEST_CASE("the limit finds the room of a target that announces too much") {
+  LimitRules rules;
+  rules.slots = 64;
+  rules.slow_start = Millis{0};
+  ConcurrencyLimit limit;
+  StartLimit(rules, Millis{0}, limit);
+  FakeTarget target;
+  double now = 0;
+  limit.baseline = 10;
+  Drive(rules, target, now, 10'000, limit);
+  REQUIRE(limit.limit < 24);
+  // 8 places of 10 ms each: 800 a second, of which almost all are used.
+  REQUIRE(Drive(rules, target, now, 5'000, limit) > 3600);
+}
+
+TEST_CASE("a slow service keeps its concurrency, and its throughput") {
+  LimitRules rules;
+  rules.slots = 32;
+  rules.slow_start = Millis{0};
+  ConcurrencyLimit limit;
+  StartLimit(rules, Millis{0}, limit);
+  FakeTarget target;
+  target.room = 32;
+  double now = 0;
+  Drive(rules, target, now, 3'000, limit);
+  target.service_ms = 100;
+  // All 32 places at 100 ms give 320 a second.
+  REQUIRE(Drive(rules, target, now, 20'000, limit) > 0.9 * 320 * 20);
+  target.service_ms = 10;
+  Drive(rules, target, now, 1'000, limit);
+  REQUIRE(Drive(rules, target, now, 2'000, limit) > 0.9 * 3200 * 2);
+}
+
+TEST_CASE("a cold target is ramped up") {
+  LimitRules rules;
+  rules.slots = 50;
+  rules.slow_start = Millis{1000};
+  ConcurrencyLimit limit;
+  StartLimit(rules, Millis{0}, limit);
+  REQUIRE(CurrentLimit(rules, Millis{0}, limit) == 10);
+  REQUIRE(CurrentLimit(rules, Millis{500}, limit) == 30);
+  REQUIRE(CurrentLimit(rules, Millis{1000}, limit) == 50);
+}
+
+TEST_CASE("pressure falls to the right level at once and is gone in a second") {
+  Pressure pressure;
+  // Four times what is completed arrives, evenly over the ranks.
+  for (std::uint32_t rank = 0; rank < kRankCount; ++rank) {
+    NoteArrival(ShedRank(rank), pressure);
+  }
+  for (int i = 0; i < 256; ++i) {
+    NoteCompletion(pressure);
+    NoteDequeue(Millis{80}, pressure);
+  }
+  REQUIRE(UpdatePressure(Millis{20}, Millis{100}, true, pressure));
+  REQUIRE(pressure.threshold > 250);
+  REQUIRE(pressure.threshold < 290);
+  Millis now{100};
+  while (pressure.threshold < kRankCount && now < Millis{5000}) {
+    now = now + kPressureWindow;
+    UpdatePressure(Millis{20}, now, false, pressure);
+  }
+  REQUIRE(now <= Millis{2200});
+}
+
+TEST_CASE("kept requests of a class are the same at every hop") {
+  const RootId root{3, 4};
+  REQUIRE(RankOf(Criticality::kHigh, root) == RankOf(Criticality::kHigh, root));
+  REQUIRE(RankOf(Criticality::kCritical, root) <
+          RankOf(Criticality::kHigh, root));
+}
+
+}  // namespace
+}  // namespace almondlink::control
--- /dev/null
+++ b/libs/mesh/src/peer_links.cc
@@ -0,0 +1,507 @@
+#include "almondlink/mesh/peer_links.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+
+#include "almondlink/base/event_log.h"
+#include "link_proof.h"
+
+namespace almondlink::mesh {
+
+namespace {
+
+using Endpoint = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+using MessagePointer = Endpoint::message_ptr;
+
+constexpr Millis kCheckInterval{100};
+
+enum class LinkState { kConnecting, kProving, kOpen, kClosed };
+
+/// One outgoing link. Messages wait in `backlog` until it is open.
+struct Link {
+  std::string address;
+  LinkState state = LinkState::kConnecting;
+  Handle handle;
+  policy::Bytes nonce;
+  Millis started;
+  Millis last_received;
+  Millis last_used;
+  bool is_pinged = false;
+  Millis pinged;
+  std::vector<std::pair<std::uint64_t, std::vector<std::uint8_t>>> backlog;
+  std::size_t out = 0;
+};
+
+using LinkPointer = std::shared_ptr<Link>;
+
+/// A call or pull that waits for its answer.
+struct Pending {
+  LinkPointer link;
+  bool is_sent = false;
+  AnswerHandler on_answer;
+  StateHandler on_state;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+};
+
+}  // namespace
+
+class PeerLinks::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& loop, const PeerLinksConfig& config)
+      : loop(loop), config(config), check_timer(loop) {
+    this->endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    this->endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    this->endpoint.init_asio(&loop);
+    this->endpoint.set_max_message_size(config.max_message);
+    this->endpoint.set_open_handshake_timeout(config.connect_timeout.count);
+  }
+
+  /// Second step of construction: needs shared_from_this.
+  void Start() { this->ScheduleCheck(); }
+
+  CallId Send(const std::string& address,
+              wire::Call call,
+              Millis timeout,
+              AnswerHandler on_answer) {
+    const std::uint64_t id = ++this->last_id;
+    call.id = id;
+    Pending pending;
+    pending.on_answer = std::move(on_answer);
+    this->Enqueue(id, address, wire::Encode(std::move(call)), timeout,
+                  std::move(pending));
+    return CallId(id);
+  }
+
+  void Pull(const std::string& address,
+            wire::StatePull pull,
+            Millis timeout,
+            StateHandler on_state) {
+    const std::uint64_t id = ++this->last_id;
+    pull.id = id;
+    Pending pending;
+    pending.on_state = std::move(on_state);
+    this->Enqueue(id, address, wire::Encode(pull), timeout, std::move(pending));
+  }
+
+  void Cancel(CallId call) {
+    const auto found = this->pending.find(call.Value());
+    if (found == this->pending.end()) {
+      return;
+    }
+    const LinkPointer link = found->second.link;
+    const bool is_sent = found->second.is_sent;
+    this->Forget(found);
+    if (is_sent && link->state == LinkState::kOpen) {
+      wire::Cancel cancel;
+      cancel.id = call.Value();
+      this->Write(*link, wire::Encode(cancel));
+    }
+  }
+
+  void Close() {
+    this->is_closing = true;
+    this->check_timer.cancel();
+    const std::unordered_map<std::string, LinkPointer> open = this->links;
+    for (const auto& [address, link] : open) {
+      this->Drop(link, "closing", websocketpp::close::status::going_away);
+    }
+  }
+
+  std::size_t LinkCount() const { return this->links.size(); }
+  std::uint64_t LateAnswers() const { return this->late_answers; }
+
+ private:
+  void Enqueue(std::uint64_t id,
+               const std::string& address,
+               std::vector<std::uint8_t> bytes,
+               Millis timeout,
+               Pending pending) {
+    const LinkPointer link = this->LinkTo(address);
+    pending.link = link;
+    pending.timer = std::make_unique<boost::asio::steady_timer>(
+        this->loop, std::chrono::milliseconds(timeout.count));
+    pending.timer->async_wait(
+        [weak = this->weak_from_this(), id](boost::system::error_code error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (!error && self != nullptr) {
+            self->OnTimeout(id);
+          }
+        });
+    ++link->out;
+    link->last_used = MonotonicNow();
+    Pending& stored =
+        this->pending.emplace(id, std::move(pending)).first->second;
+    if (link->state == LinkState::kOpen) {
+      stored.is_sent = true;
+      this->Write(*link, bytes);
+    } else {
+      link->backlog.emplace_back(id, std::move(bytes));
+    }
+  }
+
+  LinkPointer LinkTo(const std::string& address) {
+    const auto found = this->links.find(address);
+    if (found != this->links.end()) {
+      return found->second;
+    }
+    LinkPointer link = std::make_shared<Link>();
+    link->address = address;
+    link->started = MonotonicNow();
+    link->last_received = link->started;
+    link->last_used = link->started;
+    this->links.emplace(address, link);
+    this->Connect(link);
+    return link;
+  }
+
+  void Connect(const LinkPointer& link) {
+    websocketpp::lib::error_code error;
+    Endpoint::connection_ptr connection =
+        this->endpoint.get_connection("ws://" + link->address + "/", error);
+    if (error || this->is_closing) {
+      boost::asio::post(this->loop, [weak = this->weak_from_this(), link]() {
+        if (const std::shared_ptr<Impl> self = weak.lock()) {
+          self->Drop(link, "bad address", 0);
+        }
+      });
+      return;
+    }
+    link->handle = connection->get_handle();
+    const std::weak_ptr<Impl> weak = this->weak_from_this();
+    connection->set_open_handler([weak, link](const Handle& handle) {
+      if (const std::shared_ptr<Impl> self = weak.lock()) {
+        self->OnOpen(*link, handle);
+      }
+    });
+    connection->set_fail_handler([weak, link](const Handle&) {
+      if (const std::shared_ptr<Impl> self = weak.lock()) {
+        self->Drop(link, "cannot connect", 0);
+      }
+    });
+    connection->set_close_handler([weak, link](const Handle&) {
+      if (const std::shared_ptr<Impl> self = weak.lock()) {
+        self->Drop(link, "closed by the peer", 0);
+      }
+    });
+    connection->set_pong_handler([link](const Handle&, const std::string&) {
+      link->last_received = MonotonicNow();
+      link->is_pinged = false;
+    });
+    connection->set_message_handler(
+        [weak, link](const Handle&, const MessagePointer& message) {
+          if (const std::shared_ptr<Impl> self = weak.lock()) {
+            self->OnMessage(link, message->get_payload());
+          }
+        });
+    this->endpoint.connect(connection);
+  }
+
+  void OnOpen(Link& link, const Handle& handle) {
+    websocketpp::lib::error_code error;
+    Endpoint::connection_ptr connection =
+        this->endpoint.get_con_from_hdl(handle, error);
+    if (error) {
+      return;
+    }
+    boost::system::error_code ignored;
+    connection->get_raw_socket().set_option(
+        boost::asio::ip::tcp::no_delay(true), ignored);
+    link.state = LinkState::kProving;
+    link.last_received = MonotonicNow();
+  }
+
+  void OnMessage(const LinkPointer& link, const std::string& payload) {
+    link->last_received = MonotonicNow();
+    link->is_pinged = false;
+    const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
+    HandleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(this->Dispatch(link, data, payload.size()));
+          return true;
+        },
+        [&](const Failure& failure) {
+          LogEvent(kEventPeerRefused,
+                   {{"peer", link->address}, {"reason", failure.detail}});
+          this->Drop(link, failure.detail,
+                     websocketpp::close::status::policy_violation);
+          return false;
+        });
+  }
+
+  Result<void> Dispatch(const LinkPointer& link,
+                        const std::uint8_t* data,
+                        std::size_t size) {
+    BOOST_LEAF_AUTO(tag, wire::PeekTag(data, size));
+    if (link->state == LinkState::kProving) {
+      return this->Prove(link, tag, data, size);
+    }
+    if (tag == wire::Tag::kAnswer) {
+      BOOST_LEAF_AUTO(answer, wire::DecodeAnswer(data, size));
+      this->OnAnswer(std::move(answer));
+      return {};
+    }
+    if (tag == wire::Tag::kStatePush) {
+      BOOST_LEAF_AUTO(push, wire::DecodeStatePush(data, size));
+      this->OnState(std::move(push));
+      return {};
+    }
+    return Fail(ErrorKind::kBadMessage, "not a message for this side");
+  }
+
+  /// The accepting node sends a challenge first, then its own proof.
+  Result<void> Prove(const LinkPointer& link,
+                     wire::Tag tag,
+                     const std::uint8_t* data,
+                     std::size_t size) {
+    const bool is_challenge = link->nonce.empty();
+    if (is_challenge) {
+      BOOST_LEAF_AUTO(challenge, wire::DecodeChallenge(data, size));
+      link->nonce = policy::RandomBytes(kNonceBytes);
+      wire::Hello hello;
+      hello.node = this->config.node.Value();
+      hello.nonce = link->nonce;
+      hello.mac = policy::Mac(
+          this->config.key,
+          ProofInput(kDialRole, challenge.nonce, this->config.node.Value()));
+      this->Write(*link, wire::Encode(std::move(hello)));
+      return {};
+    }
+    if (tag != wire::Tag::kWelcome) {
+      return Fail(ErrorKind::kBadMessage, "the peer did not prove the key");
+    }
+    BOOST_LEAF_AUTO(welcome, wire::DecodeWelcome(data, size));
+    const bool is_right = policy::IsMac(
+        this->config.key, ProofInput(kAcceptRole, link->nonce, welcome.node),
+        welcome.mac);
+    if (!is_right) {
+      return Fail(ErrorKind::kBadSignature,
+                  "the peer does not hold the deployment key");
+    }
+    link->state = LinkState::kOpen;
+    LogEvent(kEventLinkOpen, {{"peer", welcome.node}});
+    this->Flush(*link);
+    return {};
+  }
+
+  void Flush(Link& link) {
+    for (auto& [id, bytes] : link.backlog) {
+      const auto found = this->pending.find(id);
+      if (found != this->pending.end()) {
+        found->second.is_sent = true;
+        this->Write(link, bytes);
+      }
+    }
+    link.backlog.clear();
+  }
+
+  void Write(Link& link, const std::vector<std::uint8_t>& bytes) {
+    websocketpp::lib::error_code error;
+    Endpoint::connection_ptr connection =
+        this->endpoint.get_con_from_hdl(link.handle, error);
+    if (!error) {
+      connection->send(bytes.data(), bytes.size(),
+                       websocketpp::frame::opcode::binary);
+    }
+  }
+
+  void OnAnswer(wire::Answer answer) {
+    const auto found = this->pending.find(answer.id);
+    if (found == this->pending.end()) {
+      ++this->late_answers;
+      return;
+    }
+    const AnswerHandler handler = std::move(found->second.on_answer);
+    this->Forget(found);
+    if (handler) {
+      handler(std::move(answer));
+    }
+  }
+
+  void OnState(wire::StatePush push) {
+    const auto found = this->pending.find(push.id);
+    if (found == this->pending.end()) {
+      return;
+    }
+    const StateHandler handler = std::move(found->second.on_state);
+    this->Forget(found);
+    if (handler) {
+      handler(std::move(push));
+    }
+  }
+
+  void OnTimeout(std::uint64_t id) {
+    const auto found = this->pending.find(id);
+    if (found == this->pending.end()) {
+      return;
+    }
+    const bool is_sent = found->second.is_sent;
+    this->FailPending(
+        id, is_sent ? ErrorKind::kTargetTimeout : ErrorKind::kPeerUnreachable);
+  }
+
+  /// Ends one pending entry with an error made here.
+  void FailPending(std::uint64_t id, ErrorKind kind) {
+    const auto found = this->pending.find(id);
+    if (found == this->pending.end()) {
+      return;
+    }
+    const AnswerHandler on_answer = std::move(found->second.on_answer);
+    const StateHandler on_state = std::move(found->second.on_state);
+    this->Forget(found);
+    if (on_answer) {
+      wire::Answer answer;
+      answer.id = id;
+      answer.error = static_cast<std::uint32_t>(kind);
+      on_answer(std::move(answer));
+    }
+    if (on_state) {
+      on_state(Fail(kind, "the peer did not answer"));
+    }
+  }
+
+  void Forget(std::unordered_map<std::uint64_t, Pending>::iterator found) {
+    --found->second.link->out;
+    this->pending.erase(found);
+  }
+
+  /// Takes a link out of use and ends what waits on it. `status` 0 drops the
+  /// connection without the closing handshake, which a silent peer would never
+  /// answer.
+  void Drop(const LinkPointer& link,
+            const std::string& why,
+            websocketpp::close::status::value status) {
+    if (link->state == LinkState::kClosed) {
+      return;
+    }
+    link->state = LinkState::kClosed;
+    LogEvent(kEventLinkLost, {{"peer", link->address}, {"reason", why}});
+    const auto found = this->links.find(link->address);
+    if (found != this->links.end() && found->second == link) {
+      this->links.erase(found);
+    }
+    websocketpp::lib::error_code error;
+    Endpoint::connection_ptr connection =
+        this->endpoint.get_con_from_hdl(link->handle, error);
+    if (!error && status != 0) {
+      this->endpoint.close(link->handle, status, "", error);
+    } else if (!error) {
+      connection->terminate(error);
+    }
+    std::vector<std::pair<std::uint64_t, bool>> waiting;
+    for (const auto& [id, entry] : this->pending) {
+      if (entry.link == link) {
+        waiting.emplace_back(id, entry.is_sent);
+      }
+    }
+    for (const auto& [id, is_sent] : waiting) {
+      this->FailPending(
+          id, is_sent ? ErrorKind::kPeerLost : ErrorKind::kPeerUnreachable);
+    }
+  }
+
+  void ScheduleCheck() {
+    this->check_timer.expires_after(
+        std::chrono::milliseconds(kCheckInterval.count));
+    this->check_timer.async_wait(
+        [weak = this->weak_from_this()](boost::system::error_code error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (error || self == nullptr || self->is_closing) {
+            return;
+          }
+          self->CheckLinks();
+          self->ScheduleCheck();
+        });
+  }
+
+  void CheckLinks() {
+    const Millis now = MonotonicNow();
+    const std::unordered_map<std::string, LinkPointer> open = this->links;
+    for (const auto& [address, link] : open) {
+      this->CheckLink(now, link);
+    }
+  }
+
+  void CheckLink(Millis now, const LinkPointer& link) {
+    if (link->state != LinkState::kOpen) {
+      if (now - link->started > this->config.connect_timeout) {
+        this->Drop(link, "not open in time", 0);
+      }
+      return;
+    }
+    if (link->out == 0 && now - link->last_used > this->config.idle_after) {
+      this->Drop(link, "idle", websocketpp::close::status::normal);
+      return;
+    }
+    if (link->is_pinged && now - link->pinged > this->config.silent_after) {
+      LogEvent(kEventLinkSilent, {{"peer", link->address}});
+      this->Drop(link, "silent", 0);
+      return;
+    }
+    const bool is_quiet = now - link->last_received > this->config.ping_after;
+    if (link->out > 0 && is_quiet && !link->is_pinged) {
+      link->is_pinged = true;
+      link->pinged = now;
+      websocketpp::lib::error_code ignored;
+      this->endpoint.ping(link->handle, "", ignored);
+    }
+  }
+
+  boost::asio::io_context& loop;
+  const PeerLinksConfig config;
+  Endpoint endpoint;
+  boost::asio::steady_timer check_timer;
+  bool is_closing = false;
+  std::uint64_t last_id = 0;
+  std::uint64_t late_answers = 0;
+  std::unordered_map<std::string, LinkPointer> links;
+  std::unordered_map<std::uint64_t, Pending> pending;
+};
+
+PeerLinks::PeerLinks(boost::asio::io_context& loop,
+                     const PeerLinksConfig& config)
+    : impl(std::make_shared<Impl>(loop, config)) {
+  this->impl->Start();
+}
+
+PeerLinks::~PeerLinks() {
+  this->impl->Close();
+}
+
+CallId PeerLinks::Send(const std::string& address,
+                       wire::Call call,
+                       Millis timeout,
+                       AnswerHandler on_answer) {
+  return this->impl->Send(address, std::move(call), timeout,
+                          std::move(on_answer));
+}
+
+void PeerLinks::Cancel(CallId call) {
+  this->impl->Cancel(call);
+}
+
+void PeerLinks::Pull(const std::string& address,
+                     wire::StatePull pull,
+                     Millis timeout,
+                     StateHandler on_state) {
+  this->impl->Pull(address, pull, timeout, std::move(on_state));
+}
+
+void PeerLinks::Close() {
+  this->impl->Close();
+}
+
+std::size_t PeerLinks::LinkCount() const {
+  return this->impl->LinkCount();
+}
+
+std::uint64_t PeerLinks::LateAnswers() const {
+  return this->impl->LateAnswers();
+}
+
+}  // namespace almondlink::mesh
--- /dev/null
+++ b/test/support/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
