Silent links, server errors, and the cost of testing the limit

(1) Calls on a connection that went silent were lost for 1.5 s. (2) A target that answers every request with an error kept its share of traffic, since an answer counted as health.

Change: (1) a link with calls out is pinged after 200 ms; 200 ms later new calls use a new link while those on the old one keep their chance for a second. (2) A server error that is not of a call the target made counts against its health, and repeatable calls are tried elsewhere within grant and budget. (3) A trial starts after two slow windows, is judged by 40 samples, and keeps its cut only if the rate holds and the latency falls with it.

--- a/almondlinkd/entry_loop.cc
+++ b/almondlinkd/entry_loop.cc
@@ -20,6 +20,7 @@
 
 constexpr std::size_t kRepeatPlaces = 16'384;
 constexpr double kMicrosPerMilli = 1000;
+constexpr std::uint32_t kServerErrors = 500;
 constexpr const char* kMintPath = "/.almondlink/keys";
 constexpr std::size_t kMaxDownstream = 4096;
 /// Time past the deadline that the target's node has to report it.
@@ -39,6 +40,12 @@
   }
 }
 
+/// The target's own failure, not one of a call that it made.
+bool IsOwnServerError(const wire::Answer& answer) {
+  return answer.error == 0 && answer.status >= kServerErrors &&
+         !answer.is_call_failed;
+}
+
 /// Hash that tells one call of a service, or one request of a caller, from
 /// others.
 std::uint64_t HashOf(const server::CallerRequest& request,
@@ -178,6 +185,7 @@
     config.node = NodeId(shared.settings.node.id);
     config.key = shared.key;
     config.ping_after = shared.settings.mesh.link_ping;
+    config.suspect_after = shared.settings.mesh.link_suspect;
     config.silent_after = shared.settings.mesh.link_silent;
     config.max_message = static_cast<std::size_t>(
         shared.settings.node.max_body + 4 * shared.settings.node.max_header);
@@ -313,7 +321,7 @@
         }
       }
       targets[i].is_own_zone = routes[i].is_own_zone;
-      targets[i].is_draining |= routes[i].is_draining;
+      targets[i].is_draining = routes[i].is_draining;
       targets[i].is_suspect = routes[i].is_suspect;
       targets[i].slots = routes[i].slots;
     }
@@ -440,7 +448,7 @@
     const Millis now = MonotonicNow();
     const ErrorKind kind = ErrorKindFrom(answer.error);
     view->in_flight -= std::min(view->in_flight, 1U);
-    const bool is_fault = IsTargetFault(kind);
+    const bool is_fault = IsTargetFault(kind) || IsOwnServerError(answer);
     const bool was_good = view->health.state == control::HealthState::kGood;
     if (control::NoteHealth(now, is_fault, view->health)) {
       LogEvent(kEventTargetSetAside, {{"target", entry.target_node}});
@@ -455,7 +463,7 @@
       view->utilization = answer.utilization;
       view->is_draining = answer.is_draining;
     }
-    if (kind == ErrorKind::kNone) {
+    if (kind == ErrorKind::kNone && answer.status < kServerErrors) {
       control::NoteLatency(LatencyMs{PreciseNow().count - entry.sent.count},
                            *view);
     }
@@ -471,14 +479,14 @@
     entry->attempts_below += answer.attempts > 0 ? answer.attempts - 1 : 0;
     this->NoteDownstream(*entry, answer);
     const ErrorKind kind = ErrorKindFrom(answer.error);
-    if (kind == ErrorKind::kNone) {
+    if (kind == ErrorKind::kNone && !IsOwnServerError(answer)) {
       this->FinishAnswered(entry, std::move(answer));
       return;
     }
     if (kind == ErrorKind::kDuplicate && this->Recall(entry, answer)) {
       return;
     }
-    this->RetryOrFinish(entry, kind, answer);
+    this->RetryOrFinish(entry, kind, std::move(answer));
   }
 
   /// Another node won the key: it may know the answer.
@@ -527,9 +535,10 @@
 
   void RetryOrFinish(const EntryCallPointer& entry,
                      ErrorKind kind,
-                     const wire::Answer& answer) {
+                     wire::Answer answer) {
     control::FailedAttempt failed;
     failed.kind = kind;
+    failed.is_server_error = kind == ErrorKind::kNone;
     failed.is_repeatable = entry->call.operation->is_repeatable;
     failed.attempts = entry->attempts;
     failed.left = entry->call.deadline - MonotonicNow();
@@ -540,29 +549,35 @@
                                              control::RetryChoice::kRetry;
     const Millis advice =
         answer.retry_after_ms > 0 ? Millis{answer.retry_after_ms} : Millis{-1};
-    if (!may_retry) {
+    // A draining target refuses by plan; going elsewhere is not a retry.
+    const bool is_free = kind == ErrorKind::kDraining;
+    if (!may_retry || !(is_free || this->SpendOneRetry(*entry))) {
       const std::uint32_t level =
           kind == ErrorKind::kOverloaded ? answer.pressure : answer.downstream;
       this->NoteDownstreamOfParent(*entry, level);
-      this->FinishError(entry, kind, advice);
-      return;
-    }
-    // A draining target refuses by plan; going elsewhere is not a retry.
-    const bool is_free = kind == ErrorKind::kDraining;
-    if (!is_free) {
-      control::RetryBudget& budget =
-          *entry->call.view->budgets.at(entry->call.team);
-      if (!control::TakeRetry(entry->grant) || !control::SpendRetry(budget)) {
+      if (kind == ErrorKind::kNone) {
+        this->FinishAnswered(entry, std::move(answer));
+      } else {
         this->FinishError(entry, kind, advice);
-        return;
       }
-      ++entry->retries;
+      return;
     }
     this->AttemptLater(
         entry, is_free ? Millis{0}
                        : control::RetryDelay(entry->attempts, this->Draw()));
   }
 
+  /// Takes one retry from the root request's grant and one from the team.
+  bool SpendOneRetry(EntryCall& entry) {
+    control::RetryBudget& budget =
+        *entry.call.view->budgets.at(entry.call.team);
+    if (!control::TakeRetry(entry.grant) || !control::SpendRetry(budget)) {
+      return false;
+    }
+    ++entry.retries;
+    return true;
+  }
+
   void AttemptLater(const EntryCallPointer& entry, Millis delay) {
     if (delay <= Millis{0}) {
       this->Attempt(entry);
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -41,6 +41,7 @@
 constexpr Millis kPullTimeout{2000};
 constexpr Millis kPoll{20};
 constexpr Millis kReportTimeout{2000};
+constexpr std::int64_t kMostSlots = 100'000;
 constexpr int kExitClean = 0;
 constexpr int kExitForced = 4;
 
@@ -152,7 +153,7 @@
     self.zone = this->settings.node.zone;
     self.region = this->settings.node.region;
     self.address = this->settings.node.peer_address.Text();
-    self.slots = static_cast<std::uint32_t>(this->settings.target.slots);
+    self.slots = this->shared->slots.load();
     return self;
   }
 
@@ -311,6 +312,9 @@
       this->EndDraining();
       return server::AdminAnswer{200, "text/plain", "serving\n"};
     };
+    handlers["/announce"] = [this](const server::AdminRequest& request) {
+      return this->Announce(request);
+    };
     handlers["/trace/start"] = [this](const server::AdminRequest& request) {
       return this->StartTrace(request);
     };
@@ -343,6 +347,33 @@
         });
   }
 
+  /// The target tells its slots: `POST /announce?slots=N`.
+  server::AdminAnswer Announce(const server::AdminRequest& request) {
+    if (request.method != "POST") {
+      return server::AdminAnswer{405, "text/plain", "use POST\n"};
+    }
+    const std::string name = "slots=";
+    const std::int64_t slots = HandleFailure(
+        [&]() -> Result<std::int64_t> {
+          if (request.query.rfind(name, 0) != 0) {
+            return std::int64_t{0};
+          }
+          return config::ParseWhole(request.query.substr(name.size()));
+        },
+        [](const Failure&) { return std::int64_t{0}; });
+    if (slots < 1 || slots > kMostSlots) {
+      return server::AdminAnswer{400, "text/plain",
+                                 "slots: allowed: 1 to 100000\n"};
+    }
+    this->shared->slots.store(static_cast<std::uint32_t>(slots));
+    asio::post(this->target_loop.context, [this, slots]() {
+      wire::Member self = control::SelfMember(this->gossip->Members());
+      self.slots = static_cast<std::uint32_t>(slots);
+      this->gossip->Announce(self);
+    });
+    return server::AdminAnswer{200, "text/plain", "announced\n"};
+  }
+
   server::AdminAnswer Health() {
     const RcuThread rcu;
     if (this->shared->bundle.Read() == nullptr) {
@@ -467,6 +498,7 @@
 
   void EndDraining() {
     if (this->shared->is_draining.exchange(false)) {
+      this->callers->StopDraining();
       this->AnnounceDraining(false);
     }
   }
--- a/almondlinkd/shared_state.h
+++ b/almondlinkd/shared_state.h
@@ -50,7 +50,10 @@
   SharedState(const config::Settings& settings,
               const policy::DeploymentKey& key,
               std::uint64_t secret)
-      : settings(settings), key(key), work(kWorkCapacity, secret) {}
+      : settings(settings),
+        key(key),
+        work(kWorkCapacity, secret),
+        slots(static_cast<std::uint32_t>(settings.target.slots)) {}
 
   static constexpr std::size_t kWorkCapacity = 16'384;
 
@@ -62,6 +65,8 @@
   RcuCell<RoutingTable> routes;
   control::WorkTable work;
   std::atomic<bool> is_draining{false};
+  /// Slots of the target, from settings or as it announced them since.
+  std::atomic<std::uint32_t> slots;
   /// Calls that the entry loops have taken and not yet answered.
   std::atomic<std::int64_t> calls_open{0};
 };
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -158,8 +158,7 @@
 
   control::AdmissionRules Rules() const {
     control::AdmissionRules rules;
-    rules.limit.slots =
-        static_cast<std::uint32_t>(this->shared.settings.target.slots);
+    rules.limit.slots = this->shared.slots.load();
     rules.limit.slow_start = this->shared.settings.target.slow_start;
     const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
     if (view != nullptr) {
@@ -585,6 +584,7 @@
     answer.attempts = 1 + ended.attempts;
     const bool is_failed = answer.error != 0 || answer.status >= kServerErrors;
     answer.downstream = is_failed ? ended.downstream : 0;
+    answer.is_call_failed = is_failed && ended.is_call_failed;
   }
 
   void EndPlace(ErrorKind kind, LatencyMs took) {
--- a/bench/added_latency.cc
+++ b/bench/added_latency.cc
@@ -88,11 +88,13 @@
   const PlainRequest request =
       almondlink::test::MakeRequest("GET", "shop", "/items/1", "1");
   std::vector<BlockingHttp> direct;
+  direct.reserve(static_cast<std::size_t>(FLAGS_threads));
   for (int i = 0; i < FLAGS_threads; ++i) {
     direct.emplace_back(almondlink::config::Endpoint{
         "127.0.0.1", static_cast<std::uint16_t>(shop.port + 3)});
   }
   std::vector<BlockingHttp> through;
+  through.reserve(static_cast<std::size_t>(FLAGS_connections));
   for (int i = 0; i < FLAGS_connections; ++i) {
     through.push_back(cluster.Connect(entry));
     if (!through.back().Connect()) {
--- a/libs/base/include/almondlink/base/rcu.h
+++ b/libs/base/include/almondlink/base/rcu.h
@@ -8,7 +8,8 @@
 namespace almondlink {
 
 /// Registers the calling thread as a reader for as long as it lives. Every
-/// thread that reads an RcuCell needs one on its stack first.
+/// thread that reads an RcuCell needs one on its stack first; several on one
+/// thread are fine.
 class RcuThread {
  public:
   RcuThread();
--- a/libs/base/src/rcu.cc
+++ b/libs/base/src/rcu.cc
@@ -4,12 +4,23 @@
 
 namespace almondlink {
 
+namespace {
+
+/// RcuThreads alive on this thread; liburcu may be told of a thread once only.
+thread_local int registrations = 0;
+
+}  // namespace
+
 RcuThread::RcuThread() {
-  urcu_memb_register_thread();
+  if (registrations++ == 0) {
+    urcu_memb_register_thread();
+  }
 }
 
 RcuThread::~RcuThread() {
-  urcu_memb_unregister_thread();
+  if (--registrations == 0) {
+    urcu_memb_unregister_thread();
+  }
 }
 
 namespace rcu_internal {
--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -71,6 +71,7 @@
   std::atomic<bool> is_done{false};
   std::atomic<int> torn{0};
   std::vector<std::thread> readers;
+  readers.reserve(3);
   for (int i = 0; i < 3; ++i) {
     readers.emplace_back([&]() {
       const RcuThread rcu;
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -75,7 +75,9 @@
   Millis suspect_timeout;
   /// A link with calls in flight and no answer for this long is pinged.
   Millis link_ping;
-  /// A pinged link silent for this long is replaced.
+  /// After this long without a reply to the ping, new calls use a new link.
+  Millis link_suspect;
+  /// A pinged link silent for this long is closed; calls still out on it end.
   Millis link_silent;
 };
 
--- a/libs/control/include/almondlink/control/concurrency_limit.h
+++ b/libs/control/include/almondlink/control/concurrency_limit.h
@@ -30,11 +30,19 @@
   /// Latency over baseline that starts a trial.
   double tolerance = 1.6;
   /// Part of the limit kept in a trial.
-  double cut = 0.7;
-  /// Throughput in a trial, against before, that proves the cut harmless.
+  double cut = 0.75;
+  /// Throughput in a trial, against before, that proves the cut harmless, and
+  /// the latency that must come with it: both, so that one noisy window does
+  /// not take room away from a target that is only slow.
   double harmless = 0.9;
+  double relieved = 0.88;
+  /// Fewest samples of the windows that a trial is judged by.
+  std::uint32_t trial_samples = 40;
+  /// Slow windows in a row before a trial: the figures before it are then those
+  /// of a steady state.
+  std::uint32_t slow_windows = 2;
   /// First wait between trials that did not help; doubles up to the last.
-  Millis first_wait{500};
+  Millis first_wait{1000};
   Millis last_wait{8000};
   /// Share of failed outcomes in a window that lowers the limit.
   double failure_share = 0.2;
@@ -56,6 +64,7 @@
   std::uint32_t failures = 0;
   double latency_sum = 0;
   std::uint32_t most_in_flight = 0;
+  std::uint32_t slow_windows = 0;
   /// Throughput (per ms), latency and limit before the trial.
   double rate_before = 0;
   double latency_before = 0;
--- a/libs/control/include/almondlink/control/retry_decision.h
+++ b/libs/control/include/almondlink/control/retry_decision.h
@@ -11,6 +11,8 @@
 /// What is known when an attempt has failed.
 struct FailedAttempt {
   ErrorKind kind = ErrorKind::kInternal;
+  /// The target answered with a server error of its own (kind is kNone).
+  bool is_server_error = false;
   bool is_repeatable = true;
   /// Attempts made so far by this node for this call.
   std::uint32_t attempts = 1;
@@ -31,7 +33,9 @@
 
 /// Whether a node should try again by itself, the grant and the budget left
 /// aside. A refused at-most-once call may be tried elsewhere because nothing
-/// was run; one with unknown outcome never is. Pure.
+/// was run; one with unknown outcome never is. A server error is tried
+/// elsewhere when the call is repeatable: one broken target must not fail its
+/// share of all requests. Pure.
 RetryChoice DecideRetry(const FailedAttempt& failed);
 
 /// Wait before the next attempt. `draw` is uniform in [0, 1). Pure.
--- a/libs/control/include/almondlink/control/work_table.h
+++ b/libs/control/include/almondlink/control/work_table.h
@@ -66,6 +66,8 @@
     std::uint32_t grant_back = 0;
     std::uint32_t downstream = 0;
     std::uint32_t attempts = 0;
+    /// A call of the work failed.
+    bool is_call_failed = false;
   };
 
   /// Ends the work and returns what is left of it.
--- a/libs/control/src/concurrency_limit.cc
+++ b/libs/control/src/concurrency_limit.cc
@@ -50,6 +50,7 @@
                 const Window& window,
                 ConcurrencyLimit& limit) {
   limit.phase = LimitPhase::kSettle;
+  limit.slow_windows = 0;
   limit.rate_before = window.rate;
   limit.latency_before = window.latency;
   limit.limit_before = limit.limit;
@@ -61,10 +62,9 @@
                 const Window& window,
                 ConcurrencyLimit& limit) {
   limit.phase = LimitPhase::kSteady;
-  // By Little's law a rate that holds with fewer in flight is a lower latency;
-  // the rate alone decides, since latencies still carry the time before the
-  // cut.
-  const bool is_harmless = window.rate >= rules.harmless * limit.rate_before;
+  const bool is_harmless =
+      window.rate >= rules.harmless * limit.rate_before &&
+      window.latency <= rules.relieved * limit.latency_before;
   if (is_harmless) {
     limit.trial_wait = rules.first_wait;
     limit.next_trial = now;
@@ -88,6 +88,7 @@
     limit.baseline = window.latency;
   }
   const bool is_slow = window.latency > limit.baseline * rules.tolerance;
+  limit.slow_windows = is_slow ? limit.slow_windows + 1 : 0;
   if (!is_slow) {
     limit.trial_wait = rules.first_wait;
     if (window.is_used) {
@@ -99,8 +100,9 @@
     }
     return;
   }
-  const bool may_try =
-      window.is_used && now >= limit.next_trial && limit.limit > 1;
+  const bool may_try = window.is_used && now >= limit.next_trial &&
+                       limit.limit > 1 &&
+                       limit.slow_windows >= rules.slow_windows;
   if (may_try) {
     StartTrial(rules, window, limit);
   }
@@ -128,8 +130,11 @@
   if (outcome == Outcome::kFailure) {
     ++limit.failures;
   }
-  const bool is_open = now - limit.window_start < rules.window ||
-                       limit.samples < rules.min_samples;
+  const bool is_judging =
+      limit.phase == LimitPhase::kTrial || limit.slow_windows > 0;
+  const bool is_open =
+      now - limit.window_start < rules.window ||
+      limit.samples < (is_judging ? rules.trial_samples : rules.min_samples);
   if (is_open) {
     return;
   }
--- a/libs/control/src/retry_decision.cc
+++ b/libs/control/src/retry_decision.cc
@@ -17,10 +17,11 @@
   const ErrorAnswer& answer = AnswerFor(failed.kind);
   const bool is_safe =
       failed.is_repeatable || answer.verdict == Verdict::kNotRun;
+  const bool is_worth_it = answer.is_retryable || failed.is_server_error;
   const bool is_in_time =
       static_cast<double>(failed.left.count) > failed.likely.count;
-  const bool is_sensible = answer.is_retryable && failed.has_other_target &&
-                           failed.attempts < kMaxAttempts;
+  const bool is_sensible =
+      is_worth_it && failed.has_other_target && failed.attempts < kMaxAttempts;
   return is_safe && is_in_time && is_sensible ? RetryChoice::kRetry
                                               : RetryChoice::kGiveUp;
 }
--- a/libs/control/src/work_table.cc
+++ b/libs/control/src/work_table.cc
@@ -230,6 +230,7 @@
   while (GenerationOf(word) == generation) {
     ended.downstream = slot->downstream.load();
     ended.attempts = slot->attempts.load();
+    ended.is_call_failed = slot->failures.front().load() != 0;
     if (slot->word.compare_exchange_weak(word, WordOf(generation + 1, 0),
                                          std::memory_order_acq_rel)) {
       ended.grant_back = GrantOf(word);
--- a/libs/control/tests/membership_test.cc
+++ b/libs/control/tests/membership_test.cc
@@ -113,6 +113,7 @@
   std::mt19937_64 random(11);
   std::uniform_real_distribution<double> draw(0, 1);
   std::vector<Membership> nodes;
+  nodes.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     nodes.push_back(Start("n" + std::to_string(i)));
   }
--- a/libs/mesh/include/almondlink/mesh/peer_links.h
+++ b/libs/mesh/include/almondlink/mesh/peer_links.h
@@ -30,8 +30,10 @@
   policy::DeploymentKey key;
   Millis connect_timeout{1000};
   /// A link with calls out and nothing received for this long is pinged.
-  Millis ping_after{500};
-  /// A pinged link silent for this long is replaced.
+  Millis ping_after{200};
+  /// A ping without reply for this long: new calls use a new link.
+  Millis suspect_after{200};
+  /// A pinged link silent for this long is closed.
   Millis silent_after{1000};
   /// A link without calls for this long is closed.
   Millis idle_after{60'000};
@@ -40,8 +42,10 @@
 
 /// Outgoing links of one loop to other nodes, one per address, opened when
 /// needed. Calls are multiplexed; correlation ids are never used again, so a
-/// late answer finds nobody and is dropped. All methods are called on the
-/// thread of the loop.
+/// late answer finds nobody and is dropped. A link that may have gone silent is
+/// replaced in two steps: first new calls go over a new link, and only later
+/// are the calls on the old one given up, since it may just be slow. All
+/// methods are called on the thread of the loop.
 class PeerLinks {
  public:
   PeerLinks(boost::asio::io_context& loop, const PeerLinksConfig& config);
--- a/libs/mesh/src/peer_links.cc
+++ b/libs/mesh/src/peer_links.cc
@@ -1,5 +1,6 @@
 #include "almondlink/mesh/peer_links.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <unordered_map>
@@ -19,7 +20,7 @@
 using Handle = websocketpp::connection_hdl;
 using MessagePointer = Endpoint::message_ptr;
 
-constexpr Millis kCheckInterval{100};
+constexpr Millis kCheckInterval{50};
 
 enum class LinkState { kConnecting, kProving, kOpen, kClosed };
 
@@ -107,8 +108,8 @@
   void Close() {
     this->is_closing = true;
     this->check_timer.cancel();
-    const std::unordered_map<std::string, LinkPointer> open = this->links;
-    for (const auto& [address, link] : open) {
+    const std::vector<LinkPointer> open = this->AllLinks();
+    for (const LinkPointer& link : open) {
       this->Drop(link, "closing", websocketpp::close::status::going_away);
     }
   }
@@ -385,6 +386,9 @@
     if (found != this->links.end() && found->second == link) {
       this->links.erase(found);
     }
+    this->suspects.erase(
+        std::remove(this->suspects.begin(), this->suspects.end(), link),
+        this->suspects.end());
     websocketpp::lib::error_code error;
     Endpoint::connection_ptr connection =
         this->endpoint.get_con_from_hdl(link->handle, error);
@@ -419,14 +423,30 @@
         });
   }
 
+  std::vector<LinkPointer> AllLinks() const {
+    std::vector<LinkPointer> all = this->suspects;
+    for (const auto& [address, link] : this->links) {
+      all.push_back(link);
+    }
+    return all;
+  }
+
   void CheckLinks() {
     const Millis now = MonotonicNow();
-    const std::unordered_map<std::string, LinkPointer> open = this->links;
-    for (const auto& [address, link] : open) {
+    for (const LinkPointer& link : this->AllLinks()) {
       this->CheckLink(now, link);
     }
   }
 
+  /// New calls go elsewhere; the calls on this link still have their chance.
+  void Suspect(const LinkPointer& link) {
+    const auto found = this->links.find(link->address);
+    if (found != this->links.end() && found->second == link) {
+      this->links.erase(found);
+      this->suspects.push_back(link);
+    }
+  }
+
   void CheckLink(Millis now, const LinkPointer& link) {
     if (link->state != LinkState::kOpen) {
       if (now - link->started > this->config.connect_timeout) {
@@ -434,10 +454,18 @@
       }
       return;
     }
-    if (link->out == 0 && now - link->last_used > this->config.idle_after) {
+    const bool is_replaced =
+        link->out == 0 &&
+        std::find(this->suspects.begin(), this->suspects.end(), link) !=
+            this->suspects.end();
+    if (is_replaced ||
+        (link->out == 0 && now - link->last_used > this->config.idle_after)) {
       this->Drop(link, "idle", websocketpp::close::status::normal);
       return;
     }
+    if (link->is_pinged && now - link->pinged > this->config.suspect_after) {
+      this->Suspect(link);
+    }
     if (link->is_pinged && now - link->pinged > this->config.silent_after) {
       LogEvent(kEventLinkSilent, {{"peer", link->address}});
       this->Drop(link, "silent", 0);
@@ -460,6 +488,7 @@
   std::uint64_t last_id = 0;
   std::uint64_t late_answers = 0;
   std::unordered_map<std::string, LinkPointer> links;
+  std::vector<LinkPointer> suspects;
   std::unordered_map<std::uint64_t, Pending> pending;
 };
 
--- a/libs/model/include/almondlink/model/outcome.h
+++ b/libs/model/include/almondlink/model/outcome.h
@@ -43,9 +43,9 @@
   /// At-most-once operations that ran twice for one key; must be 0.
   std::uint64_t ran_twice = 0;
   /// From the end of the cause until the share of requests that end whole, by
-  /// weight and by the time they were asked, is back at 95 % of before for good;
-  /// negative if it never is. A share, because random arrivals alone move the
-  /// sum by more than 5 %.
+  /// weight and by the time they were asked, is back at 95 % of before for
+  /// good; negative if it never is. A share, because random arrivals alone move
+  /// the sum by more than 5 %.
   double recovery_ms = 0;
   /// Weight of whole answers by the time they arrived, of whole answers by the
   /// time they were asked for, and of all that was asked; per `kBucketMs`.
--- a/libs/model/src/almondlink_path.cc
+++ b/libs/model/src/almondlink_path.cc
@@ -13,7 +13,8 @@
 constexpr double kClaimMs = 8;
 constexpr double kLogGivesUpMs = 100;
 constexpr double kConnectTimeoutMs = 1000;
-constexpr double kLinkSilentMs = 1500;
+constexpr double kLinkSuspectMs = 400;
+constexpr double kLinkSilentMs = 1200;
 constexpr double kMembershipMs = 4500;
 constexpr double kTickMs = 5;
 constexpr std::size_t kRepeatPlaces = 16'384;
@@ -60,6 +61,7 @@
   control::RetryBudgetLimits budget_limits;
   /// Links that were found silent and replaced, by target.
   std::vector<double> replaced_ms;
+  std::vector<double> silent_since_ms;
 };
 
 struct AlmondlinkPath::Handle : CallHandle {
@@ -101,6 +103,7 @@
     node->budget_limits = {team.retry_ratio, team.retry_burst};
     control::FillBudget(node->budget_limits, *node->budget);
     node->replaced_ms.resize(world.instances.size(), -1);
+    node->silent_since_ms.resize(world.instances.size(), -1);
     this->nodes.push_back(std::move(node));
   }
 }
@@ -213,11 +216,15 @@
   };
   const double silent = this->world.FaultStart(FaultKind::kSilentLinks, target);
   if (silent >= 0 && node.replaced_ms[target] < silent) {
-    const double until = std::max(silent, call->sent_ms) + kLinkSilentMs;
-    this->world.clock.After(until - call->sent_ms, [&node, target, until]() {
-      node.replaced_ms[target] = std::max(node.replaced_ms[target], until);
-    });
-    lose(until - call->sent_ms, ErrorKind::kPeerLost);
+    // The first call that gets no answer; from it the link's times count.
+    double& first = node.silent_since_ms[target];
+    first = std::max(first, silent);
+    first = first == silent ? call->sent_ms : first;
+    this->world.clock.After(
+        first + kLinkSuspectMs - call->sent_ms, [this, &node, target]() {
+          node.replaced_ms[target] = this->world.clock.Now();
+        });
+    lose(first + kLinkSilentMs - call->sent_ms, ErrorKind::kPeerLost);
     return;
   }
   if (this->world.HasFault(FaultKind::kLost, target)) {
@@ -240,7 +247,7 @@
   const bool is_failed_answer =
       answer.kind == ErrorKind::kNone && !answer.is_whole;
   const bool is_fault = IsTargetFault(answer.kind) ||
-                        (is_failed_answer && answer.downstream == 0);
+                        (is_failed_answer && !answer.is_call_failed);
   control::NoteHealth(now, is_fault, view.health);
   const bool is_from_node = answer.kind != ErrorKind::kPeerLost &&
                             answer.kind != ErrorKind::kPeerUnreachable;
@@ -266,7 +273,9 @@
   control::NoteDownstreamLevel(
       this->world.clock.NowMillis(), answer.downstream,
       this->nodes[call->spec.entry]->downstream[call->spec.operation]);
-  if (answer.kind == ErrorKind::kNone) {
+  const bool is_own_failure = answer.kind == ErrorKind::kNone &&
+                              !answer.is_whole && !answer.is_call_failed;
+  if (answer.kind == ErrorKind::kNone && !is_own_failure) {
     this->Finish(call, CallResult{answer.is_whole, ErrorKind::kNone,
                                   answer.is_whole ? 0 : answer.downstream,
                                   control::RetryAfter(answer.downstream)});
@@ -281,6 +290,7 @@
   Node& node = *this->nodes[call->spec.entry];
   control::FailedAttempt failed;
   failed.kind = answer.kind;
+  failed.is_server_error = answer.kind == ErrorKind::kNone;
   failed.is_repeatable = info.spec->is_repeatable;
   failed.attempts = call->attempts;
   failed.left = Millis{
@@ -313,8 +323,7 @@
   Answer answer;
   answer.kind = ErrorKind::kTargetTimeout;
   this->Learn(call, answer);
-  const OutCallPointer kept = call;
-  this->Cancel(kept);
+  this->Cancel(call);
   call->done(CallResult{false, ErrorKind::kTargetTimeout});
 }
 
@@ -497,6 +506,7 @@
   answer.is_whole = is_whole;
   answer.grant_back = work->grant.available;
   answer.downstream = is_whole ? 0 : work->downstream;
+  answer.is_call_failed = !is_whole && work->is_call_failed;
   const control::AdmissionStep step = control::Complete(
       node.rules, this->world.clock.NowMillis(), LatencyMs{took},
       control::Outcome::kSuccess, node.admission);
--- a/libs/model/src/almondlink_path.h
+++ b/libs/model/src/almondlink_path.h
@@ -32,6 +32,7 @@
   struct Answer {
     ErrorKind kind = ErrorKind::kNone;
     bool is_whole = false;
+    bool is_call_failed = false;
     std::uint32_t grant_back = 0;
     std::uint32_t downstream = 0;
     std::uint32_t level = 0;
--- a/libs/model/src/outcome.cc
+++ b/libs/model/src/outcome.cc
@@ -52,8 +52,8 @@
 
 void FindRecovery(const Scenario& scenario, Outcome& outcome) {
   outcome.recovery_ms = -1;
-  const double before = ShareIn(outcome, BucketOf(kWarmUpMs),
-                                BucketOf(scenario.cause_from_ms));
+  const double before =
+      ShareIn(outcome, BucketOf(kWarmUpMs), BucketOf(scenario.cause_from_ms));
   const std::size_t end = BucketOf(scenario.cause_to_ms);
   // Requests asked at the very end cannot end within the replay.
   const std::size_t last =
--- a/libs/model/src/world.cc
+++ b/libs/model/src/world.cc
@@ -212,6 +212,7 @@
     if (result.is_whole) {
       this->NextCall(work);
     } else {
+      work->is_call_failed = true;
       this->EndWork(work, false);
     }
   });
--- a/libs/model/src/world.h
+++ b/libs/model/src/world.h
@@ -72,6 +72,8 @@
   double deadline_ms = 0;
   control::RetryGrant grant;
   std::uint32_t downstream = 0;
+  /// A call that the work made failed.
+  bool is_call_failed = false;
   bool is_running = false;
   bool is_over = false;
   std::size_t next_call = 0;
--- a/libs/server/include/almondlink/server/caller_server.h
+++ b/libs/server/include/almondlink/server/caller_server.h
@@ -69,6 +69,9 @@
   /// elsewhere. Thread safe.
   void StartDraining();
 
+  /// Takes StartDraining back. Thread safe.
+  void StopDraining();
+
   /// Accepts no further connections and closes those that are idle. Thread
   /// safe.
   void StopAccepting();
--- a/libs/server/src/caller_server.cc
+++ b/libs/server/src/caller_server.cc
@@ -376,7 +376,9 @@
     return {};
   }
 
-  void StartDraining() { this->shared->is_draining = true; }
+  void SetDraining(bool is_draining) {
+    this->shared->is_draining = is_draining;
+  }
 
   void StopAccepting() {
     this->shared->is_stopped = true;
@@ -453,7 +455,11 @@
 }
 
 void CallerServer::StartDraining() {
-  this->impl->StartDraining();
+  this->impl->SetDraining(true);
+}
+
+void CallerServer::StopDraining() {
+  this->impl->SetDraining(false);
 }
 
 void CallerServer::StopAccepting() {
--- a/libs/wire/include/almondlink/wire/messages.generated.h
+++ b/libs/wire/include/almondlink/wire/messages.generated.h
@@ -136,6 +136,8 @@
   std::uint32_t downstream = 0;
   /// Time the target itself took, in microseconds.
   std::uint64_t target_us = 0;
+  /// A call that the target made for this one failed.
+  bool is_call_failed = false;
 };
 
 /// The caller has left; the answer is not awaited.
--- a/libs/wire/src/messages.generated.cc
+++ b/libs/wire/src/messages.generated.cc
@@ -125,6 +125,7 @@
   tree.push_back(Build(std::move(message.utilization)));
   tree.push_back(Build(std::move(message.downstream)));
   tree.push_back(Build(std::move(message.target_us)));
+  tree.push_back(Build(std::move(message.is_call_failed)));
   return tree;
 }
 
@@ -144,6 +145,7 @@
   ReadNext(cursor, message.utilization);
   ReadNext(cursor, message.downstream);
   ReadNext(cursor, message.target_us);
+  ReadNext(cursor, message.is_call_failed);
 }
 
 static Tree Build(Cancel message) {
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -159,7 +159,7 @@
       this->operators +
       "\nsignatures = 2\n[metering]\ninterval = 300ms\n[logging]\n"
       "level = info\n";
-  const std::string path = this->folder + "/" + spec.name + ".ini";
+  std::string path = this->folder + "/" + spec.name + ".ini";
   std::ofstream(path) << Merge(text, spec.extra);
   return path;
 }
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -2,7 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -10,29 +10,33 @@
 #include <stdexcept>
 #include <utility>
 
-extern char** environ;
-
 namespace almondlink::test {
 
 namespace {
 
 constexpr int kSignalBase = 128;
+constexpr int kCannotExecute = 127;
 
-pid_t Spawn(const std::vector<std::string>& arguments,
-            posix_spawn_file_actions_t& actions) {
+/// Starts a child whose output goes to `output`. It dies with this thread, so
+/// that a test that is aborted leaves nothing behind.
+pid_t Spawn(const std::vector<std::string>& arguments, int output) {
   std::vector<char*> words;
   words.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     words.push_back(const_cast<char*>(argument.c_str()));
   }
   words.push_back(nullptr);
-  pid_t pid = -1;
-  const int status =
-      posix_spawn(&pid, words[0], &actions, nullptr, words.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (status != 0) {
+  const pid_t pid = fork();
+  if (pid < 0) {
     throw std::runtime_error("cannot start " + arguments[0]);
   }
+  if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    execv(words[0], words.data());
+    _exit(kCannotExecute);
+  }
   return pid;
 }
 
@@ -45,12 +49,10 @@
 
 Process::Process(const std::vector<std::string>& arguments,
                  const std::string& output) {
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  this->pid = Spawn(arguments, actions);
+  const int file =
+      open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  this->pid = Spawn(arguments, file);
+  close(file);
 }
 
 Process::Process(Process&& other) noexcept
@@ -88,15 +90,10 @@
 
 int RunCommand(const std::vector<std::string>& arguments, std::string& output) {
   std::array<int, 2> ends{};
-  if (pipe(ends.data()) != 0) {
+  if (pipe2(ends.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error("no pipe");
   }
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
-  posix_spawn_file_actions_addclose(&actions, ends[0]);
-  const pid_t pid = Spawn(arguments, actions);
+  const pid_t pid = Spawn(arguments, ends[1]);
   close(ends[1]);
   std::array<char, 4096> buffer{};
   ssize_t count = 0;
