--- a/almondlinkd/entry_loop.cc
+++ b/almondlinkd/entry_loop.cc
@@ -87,6 +87,7 @@
   std::uint64_t hash = 0;
   Millis arrived;
   LatencyMs started;
+  /// Held by a root request; calls within work use the grant of the work.
   control::RetryGrant grant;
   /// Attempts by this node, and below it.
   std::uint32_t attempts = 0;
@@ -256,7 +257,6 @@
         this->FinishError(entry, ErrorKind::kRetryGrantEmpty, Millis{-1});
         return;
       }
-      entry->grant.available = this->shared.work.Lend(*call.parent);
     } else {
       if (!this->TakeFromBudget(*entry)) {
         this->FinishError(entry, ErrorKind::kRetryBudgetEmpty, Millis{-1});
@@ -404,7 +404,7 @@
     ++entry->attempts;
     entry->tried.push_back(route.node);
     entry->target_node = route.node;
-    entry->lent = control::Lend(entry->grant);
+    entry->lent = this->LendGrant(*entry);
     entry->sent = PreciseNow();
     entry->out = this->links.Send(
         route.address, this->MakeCall(*entry, left), left + kAnswerGrace,
@@ -475,7 +475,7 @@
     }
     entry->out.reset();
     this->LearnFrom(*entry, answer);
-    control::GiveBack(entry->grant, entry->lent, answer.grant_back);
+    this->TakeBackGrant(*entry, answer.grant_back);
     entry->attempts_below += answer.attempts > 0 ? answer.attempts - 1 : 0;
     this->NoteDownstream(*entry, answer);
     const ErrorKind kind = ErrorKindFrom(answer.error);
@@ -567,11 +567,32 @@
                        : control::RetryDelay(entry->attempts, this->Draw()));
   }
 
+  /// A call made within work lends from the grant that the work holds; all
+  /// calls of the work share it.
+  std::uint32_t LendGrant(EntryCall& entry) {
+    return entry.call.parent.has_value()
+               ? this->shared.work.Lend(*entry.call.parent)
+               : control::Lend(entry.grant);
+  }
+
+  void TakeBackGrant(EntryCall& entry, std::uint32_t unspent) {
+    if (entry.call.parent.has_value()) {
+      this->shared.work.GiveBack(*entry.call.parent,
+                                 std::min(entry.lent, unspent));
+      return;
+    }
+    control::GiveBack(entry.grant, entry.lent, unspent);
+  }
+
   /// Takes one retry from the root request's grant and one from the team.
   bool SpendOneRetry(EntryCall& entry) {
     control::RetryBudget& budget =
         *entry.call.view->budgets.at(entry.call.team);
-    if (!control::TakeRetry(entry.grant) || !control::SpendRetry(budget)) {
+    const bool is_granted =
+        entry.call.parent.has_value()
+            ? this->shared.work.TakeRetry(*entry.call.parent)
+            : control::TakeRetry(entry.grant);
+    if (!is_granted || !control::SpendRetry(budget)) {
       return false;
     }
     ++entry.retries;
@@ -609,11 +630,11 @@
         {server::kAttemptsHeader,
          std::to_string(entry->attempts + entry->attempts_below)});
     // Of a root's grant, what is gone was spent, or lost with an answer.
-    const std::uint32_t granted = entry->call.parent.has_value()
-                                      ? entry->grant.available + entry->retries
-                                      : entry->call.operation->retries;
-    out.headers.push_back({server::kRetriesHeader,
-                           std::to_string(granted - entry->grant.available)});
+    const std::uint32_t spent =
+        entry->call.parent.has_value()
+            ? entry->retries
+            : entry->call.operation->retries - entry->grant.available;
+    out.headers.push_back({server::kRetriesHeader, std::to_string(spent)});
     out.body = std::move(answer.body);
     this->Finish(entry, ErrorKind::kNone, std::move(out));
   }
@@ -667,7 +688,6 @@
     const ClassifiedCall& call = entry.call;
     if (call.parent.has_value()) {
       control::WorkTable& work = this->shared.work;
-      work.GiveBack(*call.parent, entry.grant.available);
       work.NoteAttempts(*call.parent, entry.attempts + entry.attempts_below);
       if (kind != ErrorKind::kNone) {
         work.NoteFailure(*call.parent, entry.hash);
--- a/libs/model/src/almondlink_path.cc
+++ b/libs/model/src/almondlink_path.cc
@@ -33,6 +33,11 @@
   double deadline_ms = 0;
   control::ShedRank rank;
   control::RetryGrant grant;
+  /// The grant that the call uses: its own, or that of the work it belongs to.
+  control::RetryGrant& Grant() {
+    return this->spec.parent == nullptr ? this->grant
+                                        : this->spec.parent->grant;
+  }
   std::vector<std::size_t> tried;
   std::uint32_t attempts = 0;
   std::uint32_t retries = 0;
@@ -131,9 +136,7 @@
   Node& node = *this->nodes[call->spec.entry];
   const Millis now = this->world.clock.NowMillis();
   const RootRequest& root = *call->spec.root;
-  if (call->spec.parent != nullptr) {
-    call->grant.available = control::Lend(call->spec.parent->grant);
-  } else {
+  if (call->spec.parent == nullptr) {
     if (control::IsEarlyRepeat(now, root.hash, node.repeats)) {
       if (!control::SpendRetry(*node.budget)) {
         this->Finish(call, CallResult{false, ErrorKind::kRetryBudgetEmpty});
@@ -203,7 +206,7 @@
   call->tried.push_back(place);
   call->place = place;
   call->target = this->world.by_service[service][place];
-  call->lent = control::Lend(call->grant);
+  call->lent = control::Lend(call->Grant());
   call->sent_ms = this->world.clock.Now();
   const int attempt = ++call->attempt;
   const std::size_t target = call->target;
@@ -269,7 +272,7 @@
     return;
   }
   this->Learn(call, answer);
-  control::GiveBack(call->grant, call->lent, answer.grant_back);
+  control::GiveBack(call->Grant(), call->lent, answer.grant_back);
   control::NoteDownstreamLevel(
       this->world.clock.NowMillis(), answer.downstream,
       this->nodes[call->spec.entry]->downstream[call->spec.operation]);
@@ -300,7 +303,7 @@
   const bool may_retry =
       answer.downstream == 0 &&
       control::DecideRetry(failed) == control::RetryChoice::kRetry &&
-      control::TakeRetry(call->grant);
+      control::TakeRetry(call->Grant());
   if (!may_retry || !control::SpendRetry(*node.budget)) {
     const std::uint32_t level = answer.kind == ErrorKind::kOverloaded
                                     ? answer.level
@@ -367,10 +370,7 @@
     return;
   }
   call->is_over = true;
-  if (call->spec.parent != nullptr) {
-    control::GiveBack(call->spec.parent->grant, call->grant.available,
-                      call->grant.available);
-  } else if (!result.is_whole) {
+  if (call->spec.parent == nullptr && !result.is_whole) {
     control::NoteFailedRequest(this->world.clock.NowMillis(),
                                call->spec.root->hash, result.retry_after, false,
                                this->nodes[call->spec.entry]->repeats);
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -21,6 +21,13 @@
 
 constexpr int kPortsPerInstance = 4;
 
+// Intervals of tests, instead of the defaults.
+const std::string kShortProbes =
+    "probe_interval = 100ms\nprobe_timeout = 150ms\n"
+    "suspect_timeout = 800ms\n";
+const std::string kShortPolls = "poll_interval = 200ms\ntimeout = 500ms\n";
+const std::string kShortMetering = "interval = 300ms\n";
+
 std::string Program(const std::string& path) {
   return std::string(ALMONDLINK_BUILD_DIR) + "/" + path;
 }
@@ -151,14 +158,13 @@
       "\nslots = " + std::to_string(spec.slots) +
       "\nslow_start = 0ms\n[mesh]\nkey_file = " + this->key_path("deployment") +
       "\nseeds = " + Address(this->base_port + 11) + " " +
-      Address(this->base_port + 11 + kPortsPerInstance) +
-      "\nprobe_interval = 100ms\nprobe_timeout = 150ms\n"
-      "suspect_timeout = 800ms\n[log]\naddress = " +
-      Address(spec.has_log ? this->base_port : this->base_port + 1) +
-      "\npoll_interval = 200ms\ntimeout = 500ms\n[bundle]\noperators = " +
-      this->operators +
-      "\nsignatures = 2\n[metering]\ninterval = 300ms\n[logging]\n"
-      "level = info\n";
+      Address(this->base_port + 11 + kPortsPerInstance) + "\n" +
+      (spec.is_production ? "" : kShortProbes) + "[log]\naddress = " +
+      Address(spec.has_log ? this->base_port : this->base_port + 1) + "\n" +
+      (spec.is_production ? "" : kShortPolls) +
+      "[bundle]\noperators = " + this->operators +
+      "\nsignatures = 2\n[metering]\n" +
+      (spec.is_production ? "" : kShortMetering) + "[logging]\nlevel = info\n";
   std::string path = this->folder + "/" + spec.name + ".ini";
   std::ofstream(path) << Merge(text, spec.extra);
   return path;
@@ -171,6 +177,10 @@
   instance.port =
       this->base_port + 10 +
       static_cast<int>(this->instances.size() - 1) * kPortsPerInstance;
+  if (!spec.has_target) {
+    this->StartNode(instance);
+    return instance;
+  }
   instance.target = std::make_unique<Process>(
       std::vector<std::string>{Program("standins/standin_target"),
                                "--port=" + std::to_string(instance.port + 3),
@@ -201,7 +211,7 @@
   return RunCommand(arguments, output);
 }
 
-void Cluster::Release(const std::string& text) {
+void Cluster::Release(const std::string& text, std::string* shown) {
   const std::string path = this->folder + "/bundle.ini";
   std::ofstream(path) << text;
   std::string proposal;
@@ -216,6 +226,9 @@
   if (status != 0) {
     throw std::runtime_error("release failed: " + proposal + output);
   }
+  if (shown != nullptr) {
+    *shown = output;
+  }
 }
 
 Instance& Cluster::Get(const std::string& name) {
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -26,6 +26,10 @@
   bool has_log = true;
   /// Extra lines for sections, for example "[mesh]" -> "link_ping = 100ms".
   std::map<std::string, std::string> extra = {};
+  /// Without, nothing listens at the target's address.
+  bool has_target = true;
+  /// The default intervals instead of the short ones of tests.
+  bool is_production = false;
 };
 
 /// A target and its node.
@@ -48,7 +52,7 @@
   Instance& Add(const InstanceSpec& spec);
   void StartNode(Instance& instance);
   /// Releases `text` with two signatures; waits until each node has it.
-  void Release(const std::string& text);
+  void Release(const std::string& text, std::string* shown = nullptr);
   /// Runs the tool with the flags of this deployment.
   int Tool(std::vector<std::string> arguments, std::string& output);
 
--- a/test/support/process.h
+++ b/test/support/process.h
@@ -23,6 +23,7 @@
   /// SIGKILL and Wait.
   void Kill();
   bool IsRunning() const { return this->pid > 0; }
+  pid_t Id() const { return this->pid; }
 
  private:
   pid_t pid = -1;
