Split the large units of the daemon; refuse claims at once while the log is down

Change: at_most_once, target_views, entry_call (with the call's accounts) and admin_routes are files of their own; the model's target side, too. The claim writer counts the log as down after 300 ms without a read: who waits is refused at once, the log is tried again every 500 ms. Members are read from the log often after a start and ever less often later.

Found: process_once_test filled a vector while threads read it; mended.

--- a/almondlinkd/classify.cc
+++ b/almondlinkd/classify.cc
@@ -212,4 +212,36 @@
   return call;
 }
 
+Result<ClassifiedCall> ClassifyMint(
+    const server::CallerRequest& request,
+    const std::shared_ptr<const BundleView>& view,
+    const ClassifyInput& input) {
+  if (view == nullptr) {
+    return Fail(ErrorKind::kNoBundle, "");
+  }
+  ClassifiedCall call;
+  call.view = view;
+  const policy::Bundle& bundle = *view->in_force->bundle;
+  const std::string& service =
+      server::HeaderValue(request.headers, server::kServiceHeader);
+  const auto found = bundle.by_service.find(service);
+  if (found == bundle.by_service.end()) {
+    return Fail(ErrorKind::kUnknownService, "");
+  }
+  for (const std::size_t index : found->second) {
+    if (!bundle.operations[index].is_repeatable) {
+      call.operation = &bundle.operations[index];
+    }
+  }
+  if (call.operation == nullptr) {
+    return Fail(ErrorKind::kUnknownOperation,
+                "the service has no at-most-once operation");
+  }
+  BOOST_LEAF_CHECK(ReadIdentity(request, call));
+  call.criticality = call.operation->criticality;
+  call.root = input.fresh_root;
+  call.deadline = input.now + call.operation->timeout;
+  return call;
+}
+
 }  // namespace almondlink::daemon
--- a/almondlinkd/classify.h
+++ b/almondlinkd/classify.h
@@ -69,6 +69,14 @@
                                 const control::WorkTable& work,
                                 const ClassifyInput& input);
 
+/// Understands a request for a minted key, which names a service, a team and a
+/// caller only; `operation` is an at-most-once operation of the service.
+/// Errors: as Classify.
+Result<ClassifiedCall> ClassifyMint(
+    const server::CallerRequest& request,
+    const std::shared_ptr<const BundleView>& view,
+    const ClassifyInput& input);
+
 }  // namespace almondlink::daemon
 
 #endif  // ALMONDLINKD_CLASSIFY_H_
--- a/almondlinkd/entry_loop.cc
+++ b/almondlinkd/entry_loop.cc
@@ -13,39 +13,19 @@
 #include "almondlink/control/retry_decision.h"
 #include "almondlink/control/retry_grant.h"
 #include "almondlinkd/classify.h"
+#include "almondlinkd/entry_call.h"
+#include "almondlinkd/target_views.h"
 
 namespace almondlink::daemon {
 
 namespace {
 
 constexpr std::size_t kRepeatPlaces = 16'384;
-constexpr double kMicrosPerMilli = 1000;
-constexpr std::uint32_t kServerErrors = 500;
 constexpr const char* kMintPath = "/.almondlink/keys";
 constexpr std::size_t kMaxDownstream = 4096;
 /// Time past the deadline that the target's node has to report it.
 constexpr Millis kAnswerGrace{20};
 
-bool IsTargetFault(ErrorKind kind) {
-  switch (kind) {
-    case ErrorKind::kTargetLost:
-    case ErrorKind::kTargetTimeout:
-    case ErrorKind::kTargetBadAnswer:
-    case ErrorKind::kPeerLost:
-    case ErrorKind::kPeerUnreachable:
-    case ErrorKind::kConnectFailed:
-      return true;
-    default:
-      return false;
-  }
-}
-
-/// The target's own failure, not one of a call that it made.
-bool IsOwnServerError(const wire::Answer& answer) {
-  return answer.error == 0 && answer.status >= kServerErrors &&
-         !answer.is_call_failed;
-}
-
 /// Hash that tells one call of a service, or one request of a caller, from
 /// others.
 std::uint64_t HashOf(const server::CallerRequest& request,
@@ -78,33 +58,6 @@
 
 }  // namespace
 
-/// One call on its way: attempts go out one after the other until an answer is
-/// whole, or grant, budget, targets or time are used up.
-struct EntryCall {
-  server::CallerRequest request;
-  std::shared_ptr<server::CallerExchange> exchange;
-  ClassifiedCall call;
-  std::uint64_t hash = 0;
-  Millis arrived;
-  LatencyMs started;
-  /// Held by a root request; calls within work use the grant of the work.
-  control::RetryGrant grant;
-  /// Attempts by this node, and below it.
-  std::uint32_t attempts = 0;
-  std::uint32_t attempts_below = 0;
-  std::uint32_t retries = 0;
-  std::vector<std::string> tried;
-  bool is_done = false;
-  bool is_recalling = false;
-  bool is_minting = false;
-  // The attempt that is out.
-  std::string target_node;
-  std::uint32_t lent = 0;
-  LatencyMs sent;
-  std::optional<mesh::CallId> out;
-  std::unique_ptr<boost::asio::steady_timer> timer;
-};
-
 using EntryCallPointer = std::shared_ptr<EntryCall>;
 
 class EntryLoop::Impl : public std::enable_shared_from_this<Impl> {
@@ -115,10 +68,11 @@
        std::size_t index)
       : loop(loop),
         shared(shared),
-        recorder(recorder),
         links(loop, LinksConfig(shared)),
         repeats(control::MakeCallerRepeats(kRepeatPlaces)),
-        random(StableHash(index, StableHash(shared.incarnation.Value()))) {}
+        random(StableHash(index, StableHash(shared.incarnation.Value()))),
+        views(shared),
+        accounts(recorder) {}
 
   void Handle(server::CallerRequest request,
               std::shared_ptr<server::CallerExchange> exchange) {
@@ -134,9 +88,16 @@
     const Failure failure = HandleFailure(
         [&]() -> Result<Failure> {
           if (is_mint) {
-            BOOST_LEAF_CHECK(this->PrepareMint(*entry));
+            BOOST_LEAF_ASSIGN(
+                entry->call,
+                ClassifyMint(entry->request, this->shared.bundle.Read(),
+                             this->InputOf(*entry)));
+            entry->is_minting = true;
           } else {
-            BOOST_LEAF_ASSIGN(entry->call, this->ClassifyRequest(*entry));
+            BOOST_LEAF_ASSIGN(
+                entry->call,
+                Classify(entry->request, this->shared.bundle.Read(),
+                         this->shared.work, this->InputOf(*entry)));
           }
           return Failure{ErrorKind::kNone, ""};
         },
@@ -157,15 +118,15 @@
 
   EntryReport Report() const {
     EntryReport report;
-    for (const auto& [service, views] : this->views) {
+    for (const auto& [service, views] : this->views.All()) {
       for (std::size_t i = 0; i < views.targets.size(); ++i) {
         report.targets.push_back(
             TargetReport{service, views.routes[i].node, views.targets[i]});
       }
     }
-    report.usage = this->usage;
-    report.call_time = this->call_time.Summary();
-    report.added_time = this->added_time.Summary();
+    report.usage = this->accounts.Usage();
+    report.call_time = this->accounts.CallTime();
+    report.added_time = this->accounts.AddedTime();
     report.links = this->links.LinkCount();
     report.late_answers = this->links.LateAnswers();
     report.open_calls = this->open_calls;
@@ -173,14 +134,6 @@
   }
 
  private:
-  /// The targets of one service as this loop sees them, kept in step with the
-  /// routing table.
-  struct ServiceViews {
-    std::shared_ptr<const RoutingTable> table;
-    std::vector<RouteEntry> routes;
-    std::vector<control::TargetView> targets;
-  };
-
   static mesh::PeerLinksConfig LinksConfig(const SharedState& shared) {
     mesh::PeerLinksConfig config;
     config.node = NodeId(shared.settings.node.id);
@@ -197,51 +150,12 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random);
   }
 
-  Result<ClassifiedCall> ClassifyRequest(const EntryCall& entry) {
+  ClassifyInput InputOf(const EntryCall& entry) {
     ClassifyInput input;
     input.now = entry.arrived;
     input.wall_now = WallNow();
     input.fresh_root = RootId{this->random() | 1U, this->random()};
-    return Classify(entry.request, this->shared.bundle.Read(),
-                    this->shared.work, input);
-  }
-
-  /// A request for a minted key names a service, a team and a caller only.
-  Result<void> PrepareMint(EntryCall& entry) {
-    const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
-    if (view == nullptr) {
-      return Fail(ErrorKind::kNoBundle, "");
-    }
-    const std::string& service =
-        server::HeaderValue(entry.request.headers, server::kServiceHeader);
-    const auto found = view->in_force->bundle->by_service.find(service);
-    if (found == view->in_force->bundle->by_service.end()) {
-      return Fail(ErrorKind::kUnknownService, "");
-    }
-    for (const std::size_t index : found->second) {
-      const policy::OperationSpec& operation =
-          view->in_force->bundle->operations[index];
-      if (!operation.is_repeatable) {
-        entry.call.operation = &operation;
-      }
-    }
-    if (entry.call.operation == nullptr) {
-      return Fail(ErrorKind::kUnknownOperation,
-                  "the service has no at-most-once operation");
-    }
-    entry.call.view = view;
-    entry.call.team =
-        server::HeaderValue(entry.request.headers, server::kTeamHeader);
-    entry.call.caller =
-        server::HeaderValue(entry.request.headers, server::kCallerHeader);
-    if (view->budgets.count(entry.call.team) == 0) {
-      return Fail(ErrorKind::kMissingIdentity, "");
-    }
-    entry.call.criticality = entry.call.operation->criticality;
-    entry.call.root = RootId{this->random() | 1U, this->random()};
-    entry.call.deadline = entry.arrived + entry.call.operation->timeout;
-    entry.is_minting = true;
-    return {};
+    return input;
   }
 
   /// Checks that need no target: the budget for early repeats, and pressure
@@ -288,59 +202,6 @@
     return true;
   }
 
-  ServiceViews& ViewsOf(const std::string& service) {
-    const std::shared_ptr<const RoutingTable> table =
-        this->shared.routes.Read();
-    ServiceViews& views = this->views[service];
-    if (views.table != table) {
-      this->SyncViews(service, table, views);
-    }
-    return views;
-  }
-
-  /// Takes over a new routing table; what is known of targets that stay in the
-  /// same incarnation is kept.
-  void SyncViews(const std::string& service,
-                 const std::shared_ptr<const RoutingTable>& table,
-                 ServiceViews& views) {
-    std::vector<RouteEntry> routes;
-    if (table != nullptr) {
-      const auto found = table->by_service.find(service);
-      if (found != table->by_service.end()) {
-        routes = found->second;
-      }
-    }
-    std::vector<control::TargetView> targets(routes.size());
-    for (std::size_t i = 0; i < routes.size(); ++i) {
-      for (std::size_t j = 0; j < views.routes.size(); ++j) {
-        const bool is_same =
-            views.routes[j].node == routes[i].node &&
-            views.routes[j].incarnation == routes[i].incarnation;
-        if (is_same) {
-          targets[i] = views.targets[j];
-        }
-      }
-      targets[i].is_own_zone = routes[i].is_own_zone;
-      targets[i].is_draining = routes[i].is_draining;
-      targets[i].is_suspect = routes[i].is_suspect;
-      targets[i].slots = routes[i].slots;
-    }
-    views.table = table;
-    views.routes = std::move(routes);
-    views.targets = std::move(targets);
-  }
-
-  control::TargetView* FindView(const std::string& service,
-                                const std::string& node) {
-    ServiceViews& views = this->ViewsOf(service);
-    for (std::size_t i = 0; i < views.routes.size(); ++i) {
-      if (views.routes[i].node == node) {
-        return &views.targets[i];
-      }
-    }
-    return nullptr;
-  }
-
   /// A key that a node minted is known to that node only.
   std::string PinnedNode(const EntryCall& entry) const {
     if (entry.call.key.empty()) {
@@ -376,7 +237,8 @@
   }
 
   void Attempt(const EntryCallPointer& entry) {
-    ServiceViews& views = this->ViewsOf(entry->call.operation->service.Value());
+    ServiceViews& views =
+        this->views.Of(entry->call.operation->service.Value());
     const control::RouteChoice choice = this->Choose(*entry, views);
     if (!choice.index.has_value()) {
       this->NoteDownstreamOfParent(*entry, choice.none.level);
@@ -399,8 +261,7 @@
       this->FinishError(entry, ErrorKind::kDeadlinePassed, Millis{-1});
       return;
     }
-    ++view.in_flight;
-    control::NoteSent(now, view.health);
+    this->views.NoteSent(now, view);
     ++entry->attempts;
     entry->tried.push_back(route.node);
     entry->target_node = route.node;
@@ -438,43 +299,13 @@
     return call;
   }
 
-  /// What an answer tells of its target, whatever becomes of the call.
-  void LearnFrom(const EntryCall& entry, const wire::Answer& answer) {
-    control::TargetView* view = this->FindView(
-        entry.call.operation->service.Value(), entry.target_node);
-    if (view == nullptr) {
-      return;
-    }
-    const Millis now = MonotonicNow();
-    const ErrorKind kind = ErrorKindFrom(answer.error);
-    view->in_flight -= std::min(view->in_flight, 1U);
-    const bool is_fault = IsTargetFault(kind) || IsOwnServerError(answer);
-    const bool was_good = view->health.state == control::HealthState::kGood;
-    if (control::NoteHealth(now, is_fault, view->health)) {
-      LogEvent(kEventTargetSetAside, {{"target", entry.target_node}});
-    } else if (!was_good && view->health.state == control::HealthState::kGood) {
-      LogEvent(kEventTargetBack, {{"target", entry.target_node}});
-    }
-    const bool is_from_node =
-        kind != ErrorKind::kPeerLost && kind != ErrorKind::kPeerUnreachable;
-    if (is_from_node) {
-      view->level = answer.pressure;
-      view->level_time = now;
-      view->utilization = answer.utilization;
-      view->is_draining = answer.is_draining;
-    }
-    if (kind == ErrorKind::kNone && answer.status < kServerErrors) {
-      control::NoteLatency(LatencyMs{PreciseNow().count - entry.sent.count},
-                           *view);
-    }
-  }
-
   void OnAnswer(const EntryCallPointer& entry, wire::Answer answer) {
     if (entry->is_done) {
       return;
     }
     entry->out.reset();
-    this->LearnFrom(*entry, answer);
+    this->views.Learn(entry->call.operation->service.Value(),
+                      entry->target_node, entry->sent, answer);
     this->TakeBackGrant(*entry, answer.grant_back);
     entry->attempts_below += answer.attempts > 0 ? answer.attempts - 1 : 0;
     this->NoteDownstream(*entry, answer);
@@ -494,13 +325,14 @@
     if (entry->is_recalling || answer.winner.empty()) {
       return false;
     }
-    ServiceViews& views = this->ViewsOf(entry->call.operation->service.Value());
-    for (std::size_t i = 0; i < views.routes.size(); ++i) {
-      if (views.routes[i].node == answer.winner) {
-        entry->is_recalling = true;
-        this->SendTo(entry, views.routes[i], views.targets[i]);
-        return true;
-      }
+    const std::string& service = entry->call.operation->service.Value();
+    const std::optional<std::size_t> place =
+        this->views.Find(service, answer.winner);
+    if (place.has_value()) {
+      ServiceViews& views = this->views.Of(service);
+      entry->is_recalling = true;
+      this->SendTo(entry, views.routes[*place], views.targets[*place]);
+      return true;
     }
     return false;
   }
@@ -522,7 +354,7 @@
 
   bool HasOtherTarget(const EntryCall& entry) {
     const ServiceViews& views =
-        this->ViewsOf(entry.call.operation->service.Value());
+        this->views.Of(entry.call.operation->service.Value());
     std::size_t usable = 0;
     for (std::size_t i = 0; i < views.routes.size(); ++i) {
       const bool is_tried =
@@ -616,10 +448,7 @@
   }
 
   void FinishAnswered(const EntryCallPointer& entry, wire::Answer answer) {
-    const double took = PreciseNow().count - entry->started.count;
-    const double at_target =
-        static_cast<double>(answer.target_us) / kMicrosPerMilli;
-    this->added_time.Add(LatencyMs{took - at_target});
+    this->accounts.NoteAdded(*entry, answer.target_us);
     server::CallerAnswer out;
     out.status = answer.status;
     out.headers = std::move(answer.headers);
@@ -693,31 +522,7 @@
         work.NoteFailure(*call.parent, entry.hash);
       }
     }
-    if (entry.is_minting) {
-      return;
-    }
-    control::CountCall(this->UsageOf(call), kind, entry.retries, this->usage);
-    const double took = PreciseNow().count - entry.started.count;
-    this->call_time.Add(LatencyMs{took});
-    if (this->recorder.IsOn()) {
-      TraceCall trace;
-      trace.arrived = entry.arrived;
-      trace.took = LatencyMs{took};
-      trace.root = FormatRoot(call.root);
-      trace.operation = call.operation->name.Value();
-      trace.team = call.team;
-      trace.criticality = static_cast<std::uint32_t>(call.criticality);
-      trace.depth = call.depth;
-      trace.outcome = kind;
-      trace.status = status;
-      trace.attempts = entry.attempts + entry.attempts_below;
-      this->recorder.Record(trace);
-    }
-  }
-
-  static control::UsageKey UsageOf(const ClassifiedCall& call) {
-    return control::UsageKey{call.team, call.operation->name.Value(),
-                             call.criticality, call.parent.has_value()};
+    this->accounts.NoteFinished(entry, kind, status);
   }
 
   /// The request was not understood. A known team is metered all the same, so
@@ -734,9 +539,7 @@
             : failure.kind;
     const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
     const bool is_known = view != nullptr && view->budgets.count(team) != 0;
-    control::CountCall(control::UsageKey{is_known ? team : "unknown", "none",
-                                         Criticality::kNormal, false},
-                       kind, 0, this->usage);
+    this->accounts.NoteNotUnderstood(is_known ? team : "unknown", kind);
     entry.exchange->Send(
         server::ErrorToAnswer(kind, Millis{-1}, failure.detail));
     this->Leave();
@@ -750,12 +553,9 @@
     entry->timer.reset();
     if (entry->out.has_value()) {
       this->links.Cancel(*entry->out);
-      control::TargetView* view = this->FindView(
-          entry->call.operation->service.Value(), entry->target_node);
-      if (view != nullptr) {
-        view->in_flight -= std::min(view->in_flight, 1U);
-      }
-      control::CountWasted(UsageOf(entry->call), this->usage);
+      this->views.Forget(entry->call.operation->service.Value(),
+                         entry->target_node);
+      this->accounts.NoteWasted(*entry);
     }
     this->Account(*entry, ErrorKind::kCancelled, 0);
     this->Leave();
@@ -763,15 +563,12 @@
 
   boost::asio::io_context& loop;
   SharedState& shared;
-  TraceRecorder& recorder;
   mesh::PeerLinks links;
   control::CallerRepeats repeats;
   std::mt19937_64 random;
-  std::unordered_map<std::string, ServiceViews> views;
+  TargetViews views;
   std::unordered_map<std::string, control::DownstreamLevel> downstream;
-  control::UsageTable usage;
-  LatencyRecorder call_time;
-  LatencyRecorder added_time;
+  CallAccounts accounts;
   std::size_t open_calls = 0;
 };
 
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -19,6 +19,7 @@
 #include "almondlink/mesh/peer_server.h"
 #include "almondlink/server/admin_server.h"
 #include "almondlink/server/caller_server.h"
+#include "almondlinkd/admin_routes.h"
 #include "almondlinkd/entry_loop.h"
 #include "almondlinkd/platform_thread.h"
 #include "almondlinkd/report.h"
@@ -41,7 +42,6 @@
 constexpr Millis kPullTimeout{2000};
 constexpr Millis kPoll{20};
 constexpr Millis kReportTimeout{2000};
-constexpr std::int64_t kMostSlots = 100'000;
 constexpr int kExitClean = 0;
 constexpr int kExitForced = 4;
 
@@ -283,106 +283,26 @@
         });
   }
 
-  // ---- admin ----
-
   void MakeAdmin() {
-    std::map<std::string, server::AdminHandler> handlers;
-    handlers["/dump"] = [this](const server::AdminRequest&) {
-      return server::AdminAnswer{200, "application/json",
-                                 ToJson(this->Gather())};
-    };
-    handlers["/metrics"] = [this](const server::AdminRequest&) {
-      return server::AdminAnswer{200, "text/plain; version=0.0.4",
-                                 ToMetrics(this->Gather())};
-    };
-    handlers["/health"] = [this](const server::AdminRequest&) {
-      return this->Health();
-    };
-    handlers["/drain"] = [this](const server::AdminRequest& request) {
-      if (request.method != "POST") {
-        return server::AdminAnswer{405, "text/plain", "use POST\n"};
-      }
-      this->BeginDraining();
-      return server::AdminAnswer{200, "text/plain", "draining\n"};
-    };
-    handlers["/resume"] = [this](const server::AdminRequest& request) {
-      if (request.method != "POST") {
-        return server::AdminAnswer{405, "text/plain", "use POST\n"};
-      }
-      this->EndDraining();
-      return server::AdminAnswer{200, "text/plain", "serving\n"};
-    };
-    handlers["/announce"] = [this](const server::AdminRequest& request) {
-      return this->Announce(request);
-    };
-    handlers["/trace/start"] = [this](const server::AdminRequest& request) {
-      return this->StartTrace(request);
-    };
-    handlers["/trace/stop"] = [this](const server::AdminRequest&) {
-      this->recorder.Stop();
-      LogEvent(kEventTraceOff);
-      return server::AdminAnswer{200, "text/plain", "off\n"};
+    AdminActions actions;
+    actions.gather = [this]() { return this->Gather(); };
+    actions.drain = [this]() { this->BeginDraining(); };
+    actions.resume = [this]() { this->EndDraining(); };
+    actions.announce_slots = [this](std::uint32_t slots) {
+      this->AnnounceSlots(slots);
     };
     this->admin = std::make_unique<server::AdminServer>(
-        this->settings.node.admin_address, std::move(handlers));
-  }
-
-  server::AdminAnswer StartTrace(const server::AdminRequest& request) {
-    if (request.method != "POST") {
-      return server::AdminAnswer{405, "text/plain", "use POST\n"};
-    }
-    const std::string& path = this->settings.logging.trace_file;
-    if (path.empty()) {
-      return server::AdminAnswer{409, "text/plain",
-                                 "[logging] trace_file is not set\n"};
-    }
-    return HandleFailure(
-        [&]() -> Result<server::AdminAnswer> {
-          BOOST_LEAF_CHECK(this->recorder.Start(path));
-          LogEvent(kEventTraceOn, {{"file", path}});
-          return server::AdminAnswer{200, "text/plain", "on\n"};
-        },
-        [](const Failure& failure) {
-          return server::AdminAnswer{500, "text/plain", failure.detail + "\n"};
-        });
+        this->settings.node.admin_address,
+        MakeAdminRoutes(*this->shared, this->recorder, std::move(actions)));
   }
 
-  /// The target tells its slots: `POST /announce?slots=N`.
-  server::AdminAnswer Announce(const server::AdminRequest& request) {
-    if (request.method != "POST") {
-      return server::AdminAnswer{405, "text/plain", "use POST\n"};
-    }
-    const std::string name = "slots=";
-    const std::int64_t slots = HandleFailure(
-        [&]() -> Result<std::int64_t> {
-          if (request.query.rfind(name, 0) != 0) {
-            return std::int64_t{0};
-          }
-          return config::ParseWhole(request.query.substr(name.size()));
-        },
-        [](const Failure&) { return std::int64_t{0}; });
-    if (slots < 1 || slots > kMostSlots) {
-      return server::AdminAnswer{400, "text/plain",
-                                 "slots: allowed: 1 to 100000\n"};
-    }
-    this->shared->slots.store(static_cast<std::uint32_t>(slots));
+  void AnnounceSlots(std::uint32_t slots) {
+    this->shared->slots.store(slots);
     asio::post(this->target_loop.context, [this, slots]() {
       wire::Member self = control::SelfMember(this->gossip->Members());
-      self.slots = static_cast<std::uint32_t>(slots);
+      self.slots = slots;
       this->gossip->Announce(self);
     });
-    return server::AdminAnswer{200, "text/plain", "announced\n"};
-  }
-
-  server::AdminAnswer Health() {
-    const RcuThread rcu;
-    if (this->shared->bundle.Read() == nullptr) {
-      return server::AdminAnswer{503, "text/plain", "no bundle\n"};
-    }
-    if (this->shared->is_draining.load()) {
-      return server::AdminAnswer{503, "text/plain", "draining\n"};
-    }
-    return server::AdminAnswer{200, "text/plain", "ok\n"};
   }
 
   control::UsageTable GatherUsage() {
--- a/almondlinkd/platform_thread.cc
+++ b/almondlinkd/platform_thread.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::uint32_t kRecordsPerRead = 500;
+/// Members are read often after the start, when others may be starting too, and
+/// ever less often later: gossip carries single changes.
+constexpr Millis kFirstMemberInterval{1000};
 constexpr Millis kMemberInterval{30'000};
 constexpr Millis kLongestAnnounceInterval{10 * 60 * 1000};
 constexpr Millis kRetryInterval{1000};
@@ -150,6 +153,7 @@
                  Millis{settings.log.retention.count / kAnnouncesPerRetention});
     Millis next_bundle{0};
     Millis next_members{0};
+    Millis member_interval = kFirstMemberInterval;
     Millis next_announce{0};
     Millis next_usage =
         MonotonicNow() + this->Jittered(settings.metering.interval);
@@ -163,9 +167,12 @@
       }
       if (MonotonicNow() >= next_members) {
         const bool is_read = this->ReadMembers();
+        if (is_read) {
+          member_interval = std::min(kMemberInterval, member_interval * 2);
+        }
         next_members =
             MonotonicNow() +
-            this->Jittered(is_read ? kMemberInterval : kRetryInterval);
+            this->Jittered(is_read ? member_interval : kRetryInterval);
       }
       if (MonotonicNow() >= next_announce) {
         const bool is_done = this->Announce();
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -10,18 +10,14 @@
 #include <vector>
 
 #include "almondlink/base/event_log.h"
-#include "almondlink/control/idempotency_key.h"
-#include "almondlink/control/key_table.h"
 #include "almondlink/server/target_client.h"
+#include "almondlinkd/at_most_once.h"
 #include "almondlinkd/classify.h"
 
 namespace almondlink::daemon {
 
 namespace {
 
-using control::KeyEntry;
-using control::KeyState;
-
 constexpr Millis kTickBusy{5};
 constexpr Millis kTickIdle{50};
 constexpr double kMicrosPerMilli = 1000;
@@ -63,10 +59,13 @@
        AnswerSender send)
       : loop(loop),
         shared(shared),
-        claims(claims),
         send(std::move(send)),
         client(loop, ClientConfig(shared.settings)),
-        tick_timer(loop) {
+        tick_timer(loop),
+        keys(std::make_shared<AtMostOnce>(loop,
+                                          shared,
+                                          claims,
+                                          this->KeyHooksOf())) {
     control::StartAdmission(this->Rules(), MonotonicNow(), this->admission);
   }
 
@@ -97,7 +96,9 @@
     if (target_call->call.key.empty()) {
       this->Admit(ticket, target_call);
     } else {
-      this->StartKeyed(ticket, target_call);
+      this->keys->Start(KeyedCall{ticket, target_call->call.key,
+                                  target_call->call.is_recall,
+                                  target_call->deadline});
     }
   }
 
@@ -136,7 +137,7 @@
     report.service_time_ms = this->admission.service_time.mean;
     report.dispatched = this->dispatched;
     report.refused = this->refused;
-    report.keys = this->keys.entries.size();
+    report.keys = this->keys->Size();
     report.connections = this->client.ConnectionCount();
     report.calls = this->calls.size();
     report.target_time = this->target_time.Summary();
@@ -172,14 +173,6 @@
     return rules;
   }
 
-  Millis KeyLife() const {
-    const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
-    const Millis lifetime = view == nullptr
-                                ? policy::Bundle{}.key_lifetime
-                                : view->in_force->bundle->key_lifetime;
-    return lifetime + control::kClockSkew * 2;
-  }
-
   ErrorKind Check(TargetCall& target_call) {
     const wire::Call& call = target_call.call;
     if (call.service != this->shared.settings.target.service) {
@@ -202,16 +195,22 @@
     return is_root ? ErrorKind::kNone : ErrorKind::kBadMessage;
   }
 
-  // ---- at-most-once ----
+  KeyHooks KeyHooksOf() {
+    KeyHooks hooks;
+    hooks.admit = [this](control::Ticket ticket) {
+      this->Admit(ticket, this->calls.at(ticket));
+    };
+    hooks.finish = [this](control::Ticket ticket, const wire::Answer& answer) {
+      this->FinishWith(ticket, answer);
+    };
+    hooks.is_open = [this](control::Ticket ticket) {
+      return this->calls.count(ticket) != 0;
+    };
+    return hooks;
+  }
 
   void Mint(const TargetCall& target_call) {
-    control::MintedKey key;
-    key.node = NodeId(this->shared.settings.node.id);
-    key.incarnation = this->shared.incarnation;
-    key.sequence = ++this->minted;
-    key.made = WallNow();
-    key.mac = this->MacOf(key);
-    const std::string text = control::MintedKeyText(key);
+    const std::string text = this->keys->Mint();
     wire::Answer answer;
     answer.status = 200;
     answer.headers.push_back({"Content-Type", "text/plain"});
@@ -219,204 +218,6 @@
     this->SendAnswer(target_call, std::move(answer));
   }
 
-  std::string MacOf(const control::MintedKey& key) const {
-    const std::string body = control::MintedKeyBody(key);
-    return policy::ToHex(
-        policy::Mac(this->shared.key, policy::Bytes(body.begin(), body.end())));
-  }
-
-  /// Whether this incarnation minted the key, so that its table knows it.
-  bool IsOwnMinted(const control::MintedKey& key) const {
-    return key.node.Value() == this->shared.settings.node.id &&
-           key.incarnation == this->shared.incarnation &&
-           key.sequence <= this->minted && key.mac == this->MacOf(key);
-  }
-
-  void StartKeyed(control::Ticket ticket,
-                  const TargetCallPointer& target_call) {
-    const std::string& key = target_call->call.key;
-    KeyEntry* entry = control::FindKey(key, this->keys);
-    if (entry != nullptr) {
-      this->JoinKey(ticket, target_call, *entry);
-      return;
-    }
-    if (target_call->call.is_recall) {
-      this->Finish(ticket, ErrorKind::kDuplicate);
-      return;
-    }
-    const std::optional<control::MintedKey> minted =
-        control::ParseMintedKey(key);
-    if (minted.has_value()) {
-      this->StartMinted(ticket, target_call, *minted);
-      return;
-    }
-    this->StartClaim(ticket, target_call);
-  }
-
-  void StartMinted(control::Ticket ticket,
-                   const TargetCallPointer& target_call,
-                   const control::MintedKey& minted) {
-    // A forgotten key is refused by its age before it can be run again: keys
-    // are forgotten only well after they expire.
-    const ErrorKind age = control::CheckKeyAge(
-        minted.made, WallNow(), this->KeyLife() - control::kClockSkew * 2);
-    if (!this->IsOwnMinted(minted)) {
-      this->Finish(ticket, ErrorKind::kDuplicate);
-      return;
-    }
-    if (age != ErrorKind::kNone) {
-      this->Finish(ticket, ErrorKind::kKeyExpired);
-      return;
-    }
-    if (control::AddKey(this->key_limits, MonotonicNow(), target_call->call.key,
-                        KeyState::kHeld, this->keys) == nullptr) {
-      this->Finish(ticket, ErrorKind::kOverloaded);
-      return;
-    }
-    this->Admit(ticket, target_call);
-  }
-
-  /// The key is known here: repeat what it came to, wait for it, or run it if
-  /// it was refused before it ran.
-  void JoinKey(control::Ticket ticket,
-               const TargetCallPointer& target_call,
-               KeyEntry& entry) {
-    switch (entry.state) {
-      case KeyState::kClaiming:
-      case KeyState::kDispatched:
-        entry.waiting.push_back(ticket.Value());
-        return;
-      case KeyState::kHeld:
-        if (this->IsQueued(target_call->call.key, ticket)) {
-          entry.waiting.push_back(ticket.Value());
-          return;
-        }
-        if (target_call->call.is_recall && this->shared.is_draining.load()) {
-          this->Finish(ticket, ErrorKind::kDraining);
-          return;
-        }
-        this->Admit(ticket, target_call);
-        return;
-      case KeyState::kDone:
-        if (entry.has_answer) {
-          this->FinishWith(ticket, entry.answer);
-          return;
-        }
-        this->Finish(ticket, ErrorKind::kDuplicate);
-        return;
-      case KeyState::kUnknown:
-        this->Finish(ticket, ErrorKind::kDuplicate);
-        return;
-    }
-  }
-
-  /// Whether another call with the key is on its way to the target.
-  bool IsQueued(const std::string& key, control::Ticket except) const {
-    for (const auto& [ticket, target_call] : this->calls) {
-      const bool is_other = ticket != except && target_call->call.key == key;
-      if (is_other && this->admission.waiting.count(ticket) != 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  void StartClaim(control::Ticket ticket,
-                  const TargetCallPointer& target_call) {
-    const std::optional<Millis> made =
-        control::TimeOfUuid7(target_call->call.key);
-    const bool can_claim = this->claims != nullptr && made.has_value();
-    if (!can_claim ||
-        control::AddKey(this->key_limits, MonotonicNow(), target_call->call.key,
-                        KeyState::kClaiming, this->keys) == nullptr) {
-      this->Finish(ticket, ErrorKind::kLogUnavailable);
-      return;
-    }
-    platform::ClaimRequest request;
-    request.key = IdempotencyKey(target_call->call.key);
-    request.made = *made;
-    request.deadline = target_call->deadline;
-    request.done =
-        [weak = this->weak_from_this(), &loop = this->loop, ticket,
-         key = target_call->call.key](const platform::ClaimResult& result) {
-          boost::asio::post(loop, [weak, ticket, key, result]() {
-            if (const std::shared_ptr<Impl> self = weak.lock()) {
-              self->OnClaim(ticket, key, result);
-            }
-          });
-        };
-    this->claims->Claim(std::move(request));
-  }
-
-  void OnClaim(control::Ticket ticket,
-               const std::string& key,
-               const platform::ClaimResult& result) {
-    KeyEntry* entry = control::FindKey(key, this->keys);
-    if (entry == nullptr) {
-      return;
-    }
-    if (result.outcome == platform::ClaimOutcome::kWon) {
-      entry->state = KeyState::kHeld;
-      this->RunHeld(ticket, key);
-      return;
-    }
-    const std::vector<std::uint64_t> waiting = std::move(entry->waiting);
-    control::RemoveKey(key, this->keys);
-    this->FinishLost(ticket, result);
-    for (const std::uint64_t other : waiting) {
-      this->FinishLost(control::Ticket(other), result);
-    }
-  }
-
-  /// The first call that still waits runs the key.
-  void RunHeld(control::Ticket ticket, const std::string& key) {
-    const auto found = this->calls.find(ticket);
-    const bool is_wanted =
-        found != this->calls.end() && !found->second->is_abandoned;
-    if (is_wanted) {
-      this->Admit(ticket, found->second);
-      return;
-    }
-    this->RunNextWaiting(key);
-  }
-
-  void RunNextWaiting(const std::string& key) {
-    KeyEntry* entry = control::FindKey(key, this->keys);
-    while (entry != nullptr && !entry->waiting.empty()) {
-      const control::Ticket next(entry->waiting.front());
-      entry->waiting.erase(entry->waiting.begin());
-      const auto found = this->calls.find(next);
-      if (found != this->calls.end()) {
-        this->Admit(next, found->second);
-        return;
-      }
-    }
-  }
-
-  void FinishLost(control::Ticket ticket, const platform::ClaimResult& result) {
-    if (result.outcome == platform::ClaimOutcome::kUnavailable) {
-      this->Finish(ticket, ErrorKind::kLogUnavailable);
-      return;
-    }
-    wire::Answer answer;
-    answer.error = static_cast<std::uint32_t>(ErrorKind::kDuplicate);
-    answer.winner = result.holder.Value();
-    this->FinishWith(ticket, answer);
-  }
-
-  /// Gives the outcome of a key to everyone who waits for it.
-  void SettleKey(const std::string& key, const wire::Answer& answer) {
-    KeyEntry* entry = control::FindKey(key, this->keys);
-    if (entry == nullptr) {
-      return;
-    }
-    const std::vector<std::uint64_t> waiting = std::move(entry->waiting);
-    entry->waiting.clear();
-    for (const std::uint64_t ticket : waiting) {
-      this->FinishWith(control::Ticket(ticket), answer);
-    }
-  }
-
   // ---- admission and dispatch ----
 
   void Admit(control::Ticket ticket, const TargetCallPointer& target_call) {
@@ -457,7 +258,7 @@
     answer.retry_after_ms =
         control::RetryAfter(control::LevelOf(this->admission.pressure)).count;
     if (!key.empty()) {
-      this->SettleKey(key, answer);
+      this->keys->OnRefused(key, answer);
     }
     this->FinishWith(refusal.ticket, answer);
   }
@@ -469,7 +270,8 @@
       return;
     }
     const TargetCallPointer target_call = found->second;
-    if (!this->TakeKey(*target_call)) {
+    const std::string& key = target_call->call.key;
+    if (!key.empty() && !this->keys->TakeDispatch(key)) {
       this->ReleasePlace();
       this->Finish(ticket, ErrorKind::kDuplicate);
       return;
@@ -483,9 +285,8 @@
     const std::optional<SpanId> span =
         this->shared.work.Begin(context, target_call->call.grant);
     if (!span.has_value()) {
-      this->ReturnKey(*target_call);
       this->ReleasePlace();
-      this->Finish(ticket, ErrorKind::kOverloaded);
+      this->Refuse(control::Refusal{ticket, ErrorKind::kOverloaded});
       return;
     }
     ++this->dispatched;
@@ -501,21 +302,6 @@
         });
   }
 
-  bool TakeKey(const TargetCall& target_call) {
-    if (target_call.call.key.empty()) {
-      return true;
-    }
-    KeyEntry* entry = control::FindKey(target_call.call.key, this->keys);
-    return entry != nullptr && control::TakeDispatch(*entry);
-  }
-
-  void ReturnKey(const TargetCall& target_call) {
-    KeyEntry* entry = control::FindKey(target_call.call.key, this->keys);
-    if (entry != nullptr) {
-      control::ReturnDispatch(*entry);
-    }
-  }
-
   void ReleasePlace() {
     this->Apply(
         control::Release(this->Rules(), MonotonicNow(), this->admission));
@@ -556,7 +342,7 @@
     const ErrorKind kind = ErrorKindFrom(answer.error);
     this->EndPlace(kind, took);
     if (!target_call->call.key.empty()) {
-      this->EndKey(*target_call, kind, answer);
+      this->keys->OnTargetAnswer(target_call->call.key, answer);
     }
     this->FinishWith(ticket, std::move(answer));
   }
@@ -596,6 +382,9 @@
     if (kind == ErrorKind::kNone) {
       this->target_time.Add(took);
     }
+    if (kind == ErrorKind::kTargetBadAnswer) {
+      LogEvent(kEventTargetProtocol);
+    }
     const bool is_failure =
         IsFailure(kind) || kind == ErrorKind::kTargetRefused;
     this->Apply(control::Complete(
@@ -604,24 +393,6 @@
         this->admission));
   }
 
-  void EndKey(const TargetCall& target_call,
-              ErrorKind kind,
-              const wire::Answer& answer) {
-    const std::string key = target_call.call.key;
-    KeyEntry* entry = control::FindKey(key, this->keys);
-    if (entry == nullptr) {
-      return;
-    }
-    if (kind == ErrorKind::kNone) {
-      control::RecordAnswer(this->key_limits, answer, *entry, this->keys);
-    } else if (AnswerFor(kind).verdict == Verdict::kNotRun) {
-      control::ReturnDispatch(*entry);
-    } else {
-      entry->state = KeyState::kUnknown;
-    }
-    this->SettleKey(key, answer);
-  }
-
   // ---- ends ----
 
   /// The caller's side gave the call up. Waiting calls go, work that may repeat
@@ -635,9 +406,8 @@
       control::Withdraw(ticket, this->admission);
       const std::string key = target_call->call.key;
       this->calls.erase(ticket);
-      KeyEntry* entry = control::FindKey(key, this->keys);
-      if (entry != nullptr && entry->state == KeyState::kHeld) {
-        this->RunNextWaiting(key);
+      if (!key.empty()) {
+        this->keys->OnAbandoned(ticket, key);
       }
       return;
     }
@@ -701,7 +471,7 @@
           self->Apply(
               control::Tick(self->Rules(), MonotonicNow(), self->admission));
           self->ExpireWaiting();
-          control::ForgetKeys(MonotonicNow(), self->KeyLife(), self->keys);
+          self->keys->Forget();
           self->ScheduleTick();
         });
   }
@@ -720,10 +490,8 @@
       }
     }
     for (const control::Ticket ticket : late) {
-      const KeyEntry* entry =
-          control::FindKey(this->calls.at(ticket)->call.key, this->keys);
       const bool is_undecided =
-          entry != nullptr && entry->state == KeyState::kClaiming;
+          this->keys->IsUndecided(this->calls.at(ticket)->call.key);
       this->Finish(ticket, is_undecided ? ErrorKind::kLogUnavailable
                                         : ErrorKind::kDuplicate);
     }
@@ -731,15 +499,12 @@
 
   boost::asio::io_context& loop;
   SharedState& shared;
-  platform::ClaimWriter* const claims;
   const AnswerSender send;
   server::TargetClient client;
   boost::asio::steady_timer tick_timer;
   bool is_stopped = false;
   control::Admission admission;
-  const control::KeyTableLimits key_limits;
-  control::KeyTable keys;
-  std::uint64_t minted = 0;
+  const std::shared_ptr<AtMostOnce> keys;
   std::uint64_t last_ticket = 0;
   std::unordered_map<control::Ticket, TargetCallPointer> calls;
   std::map<std::pair<mesh::LinkId, std::uint64_t>, control::Ticket> tickets;
--- a/libs/control/include/almondlink/control/key_table.h
+++ b/libs/control/include/almondlink/control/key_table.h
@@ -41,6 +41,8 @@
   bool has_answer = false;
   wire::Answer answer;
   std::size_t answer_bytes = 0;
+  /// The call that is on its way to the target; 0 for none.
+  std::uint64_t running = 0;
   /// Calls that wait for the outcome of the first one.
   std::vector<std::uint64_t> waiting;
 };
--- a/libs/model/src/almondlink_path.h
+++ b/libs/model/src/almondlink_path.h
@@ -66,6 +66,57 @@
   std::uint64_t last_ticket = 0;
 };
 
+/// One call on its way, as entry_loop.cc has it.
+struct AlmondlinkPath::OutCall {
+  CallSpec spec;
+  CallDone done;
+  double deadline_ms = 0;
+  control::ShedRank rank;
+  control::RetryGrant grant;
+  /// The grant that the call uses: its own, or that of the work it belongs to.
+  control::RetryGrant& Grant() {
+    return this->spec.parent == nullptr ? this->grant
+                                        : this->spec.parent->grant;
+  }
+  std::vector<std::size_t> tried;
+  std::uint32_t attempts = 0;
+  std::uint32_t retries = 0;
+  bool is_over = false;
+  // The attempt that is out.
+  int attempt = 0;
+  std::size_t place = 0;
+  std::size_t target = 0;
+  std::uint32_t lent = 0;
+  double sent_ms = 0;
+  control::Ticket ticket;
+};
+
+struct AlmondlinkPath::Node {
+  // As target's node.
+  control::AdmissionRules rules;
+  control::Admission admission;
+  std::map<control::Ticket, std::pair<OutCallPointer, int>> calls;
+  std::map<control::Ticket, std::pair<WorkPointer, double>> work;
+  bool is_ticking = false;
+  // As entry node.
+  std::vector<std::vector<control::TargetView>> views;
+  std::vector<control::DownstreamLevel> downstream;
+  control::CallerRepeats repeats;
+  std::unique_ptr<control::RetryBudget> budget;
+  control::RetryBudgetLimits budget_limits;
+  /// Links that were found silent and replaced, by target.
+  std::vector<double> replaced_ms;
+  std::vector<double> silent_since_ms;
+};
+
+struct AlmondlinkPath::Handle : CallHandle {
+  Handle(AlmondlinkPath& path, OutCallPointer call)
+      : path(path), call(std::move(call)) {}
+  void Cancel() override { this->path.Cancel(this->call); }
+  AlmondlinkPath& path;
+  const OutCallPointer call;
+};
+
 }  // namespace almondlink::model
 
 #endif  // ALMONDLINK_MODEL_SRC_ALMONDLINK_PATH_H_
--- a/libs/platform/src/claim_writer.cc
+++ b/libs/platform/src/claim_writer.cc
@@ -21,6 +21,11 @@
 constexpr std::size_t kMostWaiting = 20'000;
 constexpr std::uint32_t kRecordsPerRead = 1000;
 constexpr Millis kPauseAfterFailure{50};
+/// Without a successful read for this long the log counts as down: who waits is
+/// refused at once instead of at its deadline, and the log is tried again only
+/// after a while.
+constexpr Millis kDownAfter{300};
+constexpr Millis kDownPause{500};
 
 }  // namespace
 
@@ -70,6 +75,8 @@
       }
       if (batch.empty()) {
         this->ReadOn();
+      } else if (MonotonicNow() < this->down_until) {
+        Refuse(batch);
       } else {
         this->Decide(std::move(batch));
       }
@@ -129,11 +136,16 @@
     while (!batch.empty() && !this->IsStopping()) {
       this->AppendOnce(bytes);
       // Whether the append reported success or not, the stream tells.
-      this->ReadOn();
+      const bool is_read = this->ReadOn();
       if (control::HasRecord(record_id, this->claims)) {
         this->AnswerKnown(batch);
         break;
       }
+      const Millis now = MonotonicNow();
+      if (!is_read && now - this->last_read > kDownAfter) {
+        this->down_until = now + kDownPause;
+        break;
+      }
       this->AnswerLate(batch);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(kPauseAfterFailure.count));
@@ -187,6 +199,7 @@
       }
     }
     this->has_read = true;
+    this->last_read = MonotonicNow();
     return true;
   }
 
@@ -276,6 +289,8 @@
   // The thread's own.
   control::Claims claims;
   std::uint64_t sequence = 0;
+  Millis last_read;
+  Millis down_until;
   std::atomic<bool> has_read{false};
   // Shared.
   mutable std::mutex mutex;
--- a/test/process/once_test.cc
+++ b/test/process/once_test.cc
@@ -121,11 +121,11 @@
   for (const Instance* shop : orders.shops) {
     orders.cluster.SetTargetFault(*shop, "late=600");
   }
-  std::vector<std::string> keys;
+  std::vector<std::string> keys(12);
   std::vector<std::thread> threads;
-  std::vector<PlainAnswer> answers(12);
+  std::vector<PlainAnswer> answers(keys.size());
   for (std::size_t i = 0; i < answers.size(); ++i) {
-    keys.push_back(FreshKey());
+    keys[i] = FreshKey();
     threads.emplace_back(
         [&, i]() { answers[i] = orders.Order(*orders.entry, keys[i]); });
   }
@@ -154,11 +154,11 @@
 TEST_CASE("a holder paused across its claim does no harm when it wakes") {
   Orders orders(22300, "once-pause");
   orders.cluster.SetLogFault("slow", 150);
-  std::vector<std::string> keys;
+  std::vector<std::string> keys(9);
   std::vector<std::thread> threads;
-  std::vector<PlainAnswer> answers(9);
+  std::vector<PlainAnswer> answers(keys.size());
   for (std::size_t i = 0; i < answers.size(); ++i) {
-    keys.push_back(FreshKey());
+    keys[i] = FreshKey();
     threads.emplace_back([&, i]() {
       PlainRequest request = orders.Make(keys[i]);
       request.headers["Almondlink-Timeout-Ms"] = "1500";
@@ -205,6 +205,21 @@
   REQUIRE(refused.Header("almondlink-verdict") == "not-run");
   REQUIRE(refused.Header("almondlink-error") == "log-unavailable");
   REQUIRE(orders.RunsOf(key) == 0);
+  // While it stays down callers are refused without an append each.
+  const auto appends = [&]() {
+    int sum = 0;
+    for (const Instance* shop : orders.shops) {
+      sum += orders.cluster.Dump(*shop)["platform"]["claims"]["appends"]
+                 .get<int>();
+    }
+    return sum;
+  };
+  const int before = appends();
+  for (int i = 0; i < 60; ++i) {
+    REQUIRE(orders.Order(*orders.entry, FreshKey())
+                .Header("almondlink-error") == "log-unavailable");
+  }
+  REQUIRE(appends() - before < 60);
   // A key minted by a node needs no log.
   PlainRequest mint = MakeRequest("POST", "shop", "/.almondlink/keys", "mint");
   const std::string minted = orders.cluster.Call(*orders.entry, mint).body;
