--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// Calls taken and not yet answered, whatever state they are in; a bound on
+/// memory far above what admission lets wait.
+constexpr std::size_t kMostOpenCalls = 20'000;
 constexpr Millis kTickBusy{5};
 constexpr Millis kTickIdle{50};
 constexpr double kMicrosPerMilli = 1000;
@@ -182,6 +185,9 @@
     if (this->shared.is_draining.load() && !call.is_recall) {
       return ErrorKind::kDraining;
     }
+    if (this->calls.size() >= kMostOpenCalls) {
+      return ErrorKind::kOverloaded;
+    }
     if (call.timeout_ms <= 0) {
       return ErrorKind::kDeadlinePassed;
     }
--- a/almondlinkd/trace_recorder.cc
+++ b/almondlinkd/trace_recorder.cc
@@ -26,7 +26,8 @@
     return;
   }
   const std::lock_guard<std::mutex> guard(this->mutex);
-  const nlohmann::json line = {{"at_ms", (call.arrived - this->started).count},
+  const nlohmann::json line = {{"type", "call"},
+                               {"at_ms", (call.arrived - this->started).count},
                                {"took_ms", call.took.count},
                                {"root", call.root},
                                {"operation", call.operation},
--- a/libs/control/include/almondlink/control/membership.h
+++ b/libs/control/include/almondlink/control/membership.h
@@ -99,6 +99,11 @@
 /// `draw` is uniform in [0, 1).
 std::optional<wire::Member> NextProbe(double draw, Membership& membership);
 
+/// A member held failed, to be asked whether it really is: after a partition
+/// both sides hold the other failed, and only a message across ends that.
+std::optional<wire::Member> PickFailed(double draw,
+                                       const Membership& membership);
+
 /// Up to `count` living members other than this node and `except`.
 std::vector<wire::Member> PickHelpers(const std::string& except,
                                       std::size_t count,
--- a/libs/control/src/membership.cc
+++ b/libs/control/src/membership.cc
@@ -190,6 +190,22 @@
   return std::nullopt;
 }
 
+std::optional<wire::Member> PickFailed(double draw,
+                                       const Membership& membership) {
+  std::vector<const wire::Member*> failed;
+  for (const auto& [node, entry] : membership.members) {
+    if (entry.member.state == kFailed) {
+      failed.push_back(&entry.member);
+    }
+  }
+  if (failed.empty()) {
+    return std::nullopt;
+  }
+  const auto index =
+      static_cast<std::size_t>(draw * static_cast<double>(failed.size()));
+  return *failed[std::min(index, failed.size() - 1)];
+}
+
 std::vector<wire::Member> PickHelpers(const std::string& except,
                                       std::size_t count,
                                       double draw,
--- a/libs/mesh/include/almondlink/mesh/gossip.h
+++ b/libs/mesh/include/almondlink/mesh/gossip.h
@@ -26,6 +26,9 @@
   control::MembershipRules rules;
   /// Others asked to probe a silent member.
   std::size_t helpers = 3;
+  /// Tests put losses here: a datagram to an address (`ip:port`) for which it
+  /// returns true is not sent. Empty in a node.
+  std::function<bool(const std::string&)> is_lost;
 };
 
 /// What the owner of a Gossip is told, on its loop.
--- a/libs/mesh/src/gossip.cc
+++ b/libs/mesh/src/gossip.cc
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kMacBytes = 32;
 constexpr std::size_t kMaxDatagram = 8 * 1024;
+/// Every so many intervals a member held failed is asked, too.
+constexpr std::uint64_t kRoundsPerFailed = 4;
 /// Members told at once of an announcement.
 constexpr std::size_t kAnnounceFanout = 8;
 /// Jitter of the probe interval: between 0.75 and 1.25 of it.
@@ -278,6 +280,9 @@
   }
 
   void SendTo(const std::string& address, const policy::Bytes& message) {
+    if (this->config.is_lost && this->config.is_lost(address)) {
+      return;
+    }
     HandleFailure(
         [&]() -> Result<bool> {
           BOOST_LEAF_AUTO(where, ToUdp(address));
@@ -309,6 +314,13 @@
   }
 
   void ProbeNext() {
+    if (++this->rounds % kRoundsPerFailed == 0) {
+      const std::optional<wire::Member> failed =
+          control::PickFailed(this->Draw(), this->membership);
+      if (failed.has_value()) {
+        this->SendProbe(*failed, ++this->sequence);
+      }
+    }
     const std::optional<wire::Member> member =
         control::NextProbe(this->Draw(), this->membership);
     if (!member.has_value()) {
@@ -392,6 +404,7 @@
   control::Membership membership;
   std::map<std::uint64_t, ProbeOut> probes;
   std::uint64_t sequence = 0;
+  std::uint64_t rounds = 0;
   std::uint64_t bundle_offset = 0;
   bool is_stopped = false;
   udp::endpoint sender;
--- a/test/process/once_test.cc
+++ b/test/process/once_test.cc
@@ -262,11 +262,39 @@
   REQUIRE(
       orders.cluster.Call(*orders.entry, repeat).Header("almondlink-verdict") ==
       "outcome-unknown");
-  // Claims that the log drops before another node has read them: this node
-  // knows that it does not know.
-  const std::string key = FreshKey();
-  REQUIRE(orders.Order(*orders.entry, key).status == 200);
-  REQUIRE(orders.RunsOf(key) == 1);
+}
+
+TEST_CASE("a node that missed dropped claims refuses the keys of that time") {
+  Orders orders(22480, "once-gap");
+  // One claim that all nodes read.
+  REQUIRE(orders.Order(*orders.entry, FreshKey()).status == 200);
+  Instance& paused = *orders.shops[0];
+  REQUIRE(Eventually([&]() {
+    return orders.cluster.Dump(paused)["platform"]["claims"]["known_keys"] == 1;
+  }));
+  paused.node->Signal(SIGSTOP);
+  std::vector<std::string> keys;
+  for (int i = 0; i < 6; ++i) {
+    keys.push_back(FreshKey());
+    orders.Order(*orders.shops[1], keys.back());
+  }
+  orders.cluster.TrimLog("claims.shop.shop", 100);
+  // A claim behind the gap, so that there is something to read.
+  REQUIRE(Eventually([&]() {
+    return orders.Order(*orders.shops[1], FreshKey()).status == 200;
+  }));
+  paused.node->Signal(SIGCONT);
+  orders.cluster.WaitReady(4);
+  orders.shops[1]->node->Kill();
+  orders.shops[2]->node->Kill();
+  // Only the node with the gap is left: it does not know who ran these keys,
+  // and says that it did not run the request.
+  for (const std::string& key : keys) {
+    const int before = orders.RunsOf(key);
+    const PlainAnswer answer = orders.Order(*orders.entry, key);
+    REQUIRE(answer.Header("almondlink-verdict") != "answered");
+    REQUIRE(orders.RunsOf(key) == before);
+  }
 }
 
 }  // namespace
--- a/test/process/usage_test.cc
+++ b/test/process/usage_test.cc
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <catch2/catch.hpp>
 
+#include <fstream>
 #include <map>
 
 #include "test/support/cluster.h"
@@ -136,5 +137,55 @@
   REQUIRE(is_shown);
 }
 
+TEST_CASE("a node records its calls as a trace that can be replayed") {
+  Cluster cluster(23240, "usage-trace");
+  cluster.StartLog();
+  cluster.Add({"shop-1", "zone-a", "shop"});
+  InstanceSpec spec{"stock-1", "zone-b", "stock"};
+  const std::string path =
+      std::string(ALMONDLINK_BUILD_DIR) + "/test-run/usage-trace/calls.jsonl";
+  spec.extra["[logging]"] = "trace_file = " + path;
+  const Instance& entry = cluster.Add(spec);
+  cluster.Release(ShopBundle(1));
+  cluster.WaitReady(2);
+  standins::BlockingHttp admin(
+      {"127.0.0.1", static_cast<std::uint16_t>(entry.port + 2)});
+  PlainRequest request;
+  request.method = "POST";
+  request.target = "/trace/start";
+  REQUIRE(admin.Send(request).status == 200);
+  for (int i = 0; i < 10; ++i) {
+    cluster.Call(entry, MakeRequest("GET", "shop", "/items/1", "t"));
+  }
+  request.target = "/trace/stop";
+  REQUIRE(admin.Send(request).status == 200);
+  std::ifstream in(path);
+  std::string trace =
+      "{\"type\":\"deployment\",\"bundle\":\"" + cluster.BundlePath() +
+      "\",\"duration_ms\":9000,\"zones\":[\"a\"]}\n"
+      "{\"type\":\"service\",\"name\":\"shop\",\"instances\":1,\"slots\":4,"
+      "\"work_ms\":1}\n"
+      "{\"type\":\"expect\",\"figure\":\"whole_share\",\"at_least\":1}\n";
+  std::string line;
+  int lines = 0;
+  while (std::getline(in, line)) {
+    trace += line + "\n";
+    ++lines;
+  }
+  REQUIRE(lines == 10);
+  std::ofstream(path) << trace;
+  std::string output;
+  const std::string tool =
+      std::string(ALMONDLINK_BUILD_DIR) + "/almondlink/almondlink";
+  REQUIRE(RunCommand({tool, "replay", path}, output) == 0);
+  // A statement that does not hold is shown with its line.
+  std::ofstream(path, std::ios::app)
+      << "{\"type\":\"expect\",\"figure\":\"whole_share\",\"at_most\":0.5}\n";
+  output.clear();
+  REQUIRE(RunCommand({tool, "replay", path}, output) == 7);
+  REQUIRE(output.find("calls.jsonl:14: whole_share is 1, stated at most 0.5") !=
+          std::string::npos);
+}
+
 }  // namespace
 }  // namespace almondlink::test
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -71,6 +71,9 @@
   /// Lines of a target's ledger.
   std::vector<std::string> Ledger(const Instance& instance);
 
+  /// File of the bundle that was released last.
+  std::string BundlePath() const { return this->folder + "/bundle.ini"; }
+
   std::string key_path(const std::string& name) const;
   std::string operators;
   policy::DeploymentKey deployment_key;
