--- a/almondlink/bundle_commands.cc
+++ b/almondlink/bundle_commands.cc
@@ -189,33 +189,61 @@
   return found;
 }
 
-Result<int> SignProposal(const Arguments& arguments) {
+/// What an operator needs to act on a proposal.
+struct Desk {
+  policy::OperatorKey key;
+  policy::FoldRules rules;
+  std::unique_ptr<platform::Log> log;
+  policy::Proposal proposal;
+};
+
+/// Opens the log and finds the proposal of the arguments.
+Result<Desk> OpenDesk(const Arguments& arguments) {
   if (arguments.size() != 1) {
     return Fail(ErrorKind::kBadSettings, "one proposal id is required");
   }
+  Desk desk;
   BOOST_LEAF_CHECK(RequireFlag(FLAGS_key, "key"));
-  BOOST_LEAF_AUTO(key, policy::LoadOperatorKey(FLAGS_key));
-  BOOST_LEAF_AUTO(rules, FoldRulesFromFlags());
-  BOOST_LEAF_AUTO(log, OpenLog());
-  BOOST_LEAF_AUTO(state, ReadFold(*log, rules));
+  BOOST_LEAF_ASSIGN(desk.key, policy::LoadOperatorKey(FLAGS_key));
+  BOOST_LEAF_ASSIGN(desk.rules, FoldRulesFromFlags());
+  BOOST_LEAF_ASSIGN(desk.log, OpenLog());
+  BOOST_LEAF_AUTO(state, ReadFold(*desk.log, desk.rules));
   const policy::Proposal* proposal = FindProposal(state, arguments[0]);
   if (proposal == nullptr) {
     return Fail(ErrorKind::kBadRecord, "no such proposal: " + arguments[0]);
   }
-  wire::BundleSign record;
-  record.record_id = FreshId();
-  record.proposal = proposal->record.record_id;
-  record.digest = policy::DigestOf(proposal->record);
-  policy::Sign(key, record);
-  BOOST_LEAF_AUTO(offset, AppendOnce(*log, wire::Encode(record)));
-  BOOST_LEAF_AUTO(after, ReadFold(*log, rules));
+  desk.proposal = *proposal;
+  return desk;
+}
+
+/// Appends a record and reads back what became of it: the fold behind it, or a
+/// failure of that kind with the reason of the refusal.
+Result<FoldState> AppendAndRead(Desk& desk,
+                                const Bytes& record,
+                                ErrorKind refused,
+                                std::uint64_t& offset) {
+  BOOST_LEAF_ASSIGN(offset, AppendOnce(*desk.log, record));
+  BOOST_LEAF_AUTO(after, ReadFold(*desk.log, desk.rules));
   for (const policy::HistoryEntry& entry : after.history) {
     if (entry.offset == offset && !entry.is_accepted) {
-      return Fail(ErrorKind::kBadSignature, "refused: " + entry.reason);
+      return Fail(refused, "refused: " + entry.reason);
     }
   }
+  return after;
+}
+
+Result<int> SignProposal(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(desk, OpenDesk(arguments));
+  wire::BundleSign record;
+  record.record_id = FreshId();
+  record.proposal = desk.proposal.record.record_id;
+  record.digest = policy::DigestOf(desk.proposal.record);
+  policy::Sign(desk.key, record);
+  std::uint64_t offset = 0;
+  BOOST_LEAF_AUTO(after, AppendAndRead(desk, wire::Encode(record),
+                                       ErrorKind::kBadSignature, offset));
   std::cout << "signed by " << FindProposal(after, arguments[0])->signers.size()
-            << " of " << rules.signatures << "\n";
+            << " of " << desk.rules.signatures << "\n";
   return kExitOk;
 }
 
@@ -282,31 +310,16 @@
 }
 
 Result<int> Release(const Arguments& arguments) {
-  if (arguments.size() != 1) {
-    return Fail(ErrorKind::kBadSettings, "one proposal id is required");
-  }
-  BOOST_LEAF_CHECK(RequireFlag(FLAGS_key, "key"));
-  BOOST_LEAF_AUTO(key, policy::LoadOperatorKey(FLAGS_key));
-  BOOST_LEAF_AUTO(rules, FoldRulesFromFlags());
-  BOOST_LEAF_AUTO(log, OpenLog());
-  BOOST_LEAF_AUTO(state, ReadFold(*log, rules));
-  const policy::Proposal* proposal = FindProposal(state, arguments[0]);
-  if (proposal == nullptr) {
-    return Fail(ErrorKind::kBadRecord, "no such proposal: " + arguments[0]);
-  }
+  BOOST_LEAF_AUTO(desk, OpenDesk(arguments));
   wire::BundleRelease record;
   record.record_id = FreshId();
-  record.proposal = proposal->record.record_id;
-  policy::Sign(key, record);
-  BOOST_LEAF_AUTO(offset, AppendOnce(*log, wire::Encode(record)));
-  BOOST_LEAF_AUTO(after, ReadFold(*log, rules));
-  for (const policy::HistoryEntry& entry : after.history) {
-    if (entry.offset == offset && !entry.is_accepted) {
-      return Fail(ErrorKind::kConflict, "refused: " + entry.reason);
-    }
-  }
-  std::cout << "version " << proposal->record.version << " accepted at offset "
-            << offset << "\n";
+  record.proposal = desk.proposal.record.record_id;
+  policy::Sign(desk.key, record);
+  std::uint64_t offset = 0;
+  BOOST_LEAF_CHECK(
+      AppendAndRead(desk, wire::Encode(record), ErrorKind::kConflict, offset));
+  std::cout << "version " << desk.proposal.record.version
+            << " accepted at offset " << offset << "\n";
   return FLAGS_wait ? WaitInForce(offset) : Result<int>(kExitOk);
 }
 
--- a/almondlinkd/entry_call.cc
+++ b/almondlinkd/entry_call.cc
@@ -1,5 +1,11 @@
 #include "almondlinkd/entry_call.h"
 
+#include <strings.h>
+
+#include <algorithm>
+
+#include "almondlink/base/hash.h"
+
 namespace almondlink::daemon {
 
 namespace {
@@ -12,12 +18,58 @@
                            call.criticality, call.parent.has_value()};
 }
 
+/// Whether almondlink sets the field anew at each hop.
+bool IsOwn(const wire::Header& header) {
+  const std::string prefix = "almondlink-";
+  return strncasecmp(header.name.c_str(), prefix.c_str(), prefix.size()) == 0 ||
+         server::IsSameToken(header.name, server::kTraceParentHeader) ||
+         server::IsSameToken(header.name, server::kKeyHeader) ||
+         server::IsSameToken(header.name, "host");
+}
+
 double TookMs(const EntryCall& entry) {
   return PreciseNow().count - entry.started.count;
 }
 
 }  // namespace
 
+std::uint64_t HashOf(const server::CallerRequest& request,
+                     const ClassifiedCall& call) {
+  std::uint64_t hash = StableHash(call.caller);
+  hash = StableHash(request.method, hash);
+  hash = StableHash(call.operation->service.Value(), hash);
+  hash = StableHash(request.target, hash);
+  return StableHash(call.key, hash) | 1U;
+}
+
+void DropOwnHeaders(server::Headers& headers) {
+  headers.erase(std::remove_if(headers.begin(), headers.end(), IsOwn),
+                headers.end());
+}
+
+wire::Call MakeCall(const EntryCall& entry, Millis left) {
+  const ClassifiedCall& classified = entry.call;
+  wire::Call call;
+  call.service = classified.operation->service.Value();
+  call.operation = classified.operation->name.Value();
+  call.method = entry.request.method;
+  call.path = entry.request.target;
+  call.headers = entry.request.headers;
+  DropOwnHeaders(call.headers);
+  call.root = FormatRoot(classified.root);
+  call.timeout_ms = left.count;
+  call.criticality = static_cast<std::uint32_t>(classified.criticality);
+  call.depth = classified.depth;
+  call.grant = entry.lent;
+  call.team = classified.team;
+  call.caller = classified.caller;
+  call.key = classified.key;
+  call.is_recall = entry.is_recalling;
+  call.is_mint = entry.is_minting;
+  call.body = entry.request.body;
+  return call;
+}
+
 void CallAccounts::NoteFinished(const EntryCall& entry,
                                 ErrorKind kind,
                                 std::uint32_t status) {
--- a/almondlinkd/entry_call.h
+++ b/almondlinkd/entry_call.h
@@ -45,6 +45,17 @@
   std::unique_ptr<boost::asio::steady_timer> timer;
 };
 
+/// Hash that tells one call of a service, or one request of a caller, from
+/// others; never 0.
+std::uint64_t HashOf(const server::CallerRequest& request,
+                     const ClassifiedCall& call);
+
+/// Takes out the fields that almondlink sets anew at each hop.
+void DropOwnHeaders(server::Headers& headers);
+
+/// The message for the attempt that `entry` is about to make.
+wire::Call MakeCall(const EntryCall& entry, Millis left);
+
 /// What one entry loop counts. Not thread safe; one per loop.
 class CallAccounts {
  public:
--- a/almondlinkd/entry_loop.cc
+++ b/almondlinkd/entry_loop.cc
@@ -26,36 +26,6 @@
 /// Time past the deadline that the target's node has to report it.
 constexpr Millis kAnswerGrace{20};
 
-/// Hash that tells one call of a service, or one request of a caller, from
-/// others.
-std::uint64_t HashOf(const server::CallerRequest& request,
-                     const ClassifiedCall& call) {
-  std::uint64_t hash = StableHash(call.caller);
-  hash = StableHash(request.method, hash);
-  hash = StableHash(call.operation->service.Value(), hash);
-  hash = StableHash(request.target, hash);
-  return StableHash(call.key, hash) | 1U;
-}
-
-/// Fields of the caller that go on to the target. Almondlink's own are set anew
-/// at each hop.
-wire::Header* FindOwn(wire::Header& header) {
-  const bool is_own =
-      strncasecmp(header.name.c_str(), "almondlink-", 11) == 0 ||
-      server::IsSameToken(header.name, server::kTraceParentHeader) ||
-      server::IsSameToken(header.name, server::kKeyHeader) ||
-      server::IsSameToken(header.name, "host");
-  return is_own ? &header : nullptr;
-}
-
-void DropOwnHeaders(server::Headers& headers) {
-  headers.erase(std::remove_if(headers.begin(), headers.end(),
-                               [](wire::Header& header) {
-                                 return FindOwn(header) != nullptr;
-                               }),
-                headers.end());
-}
-
 }  // namespace
 
 using EntryCallPointer = std::shared_ptr<EntryCall>;
@@ -268,7 +238,7 @@
     entry->lent = this->LendGrant(*entry);
     entry->sent = PreciseNow();
     entry->out = this->links.Send(
-        route.address, this->MakeCall(*entry, left), left + kAnswerGrace,
+        route.address, MakeCall(*entry, left), left + kAnswerGrace,
         [weak = this->weak_from_this(), entry](wire::Answer answer) {
           if (const std::shared_ptr<Impl> self = weak.lock()) {
             self->OnAnswer(entry, std::move(answer));
@@ -276,29 +246,6 @@
         });
   }
 
-  wire::Call MakeCall(const EntryCall& entry, Millis left) const {
-    const ClassifiedCall& classified = entry.call;
-    wire::Call call;
-    call.service = classified.operation->service.Value();
-    call.operation = classified.operation->name.Value();
-    call.method = entry.request.method;
-    call.path = entry.request.target;
-    call.headers = entry.request.headers;
-    DropOwnHeaders(call.headers);
-    call.root = FormatRoot(classified.root);
-    call.timeout_ms = left.count;
-    call.criticality = static_cast<std::uint32_t>(classified.criticality);
-    call.depth = classified.depth;
-    call.grant = entry.lent;
-    call.team = classified.team;
-    call.caller = classified.caller;
-    call.key = classified.key;
-    call.is_recall = entry.is_recalling;
-    call.is_mint = entry.is_minting;
-    call.body = entry.request.body;
-    return call;
-  }
-
   void OnAnswer(const EntryCallPointer& entry, wire::Answer answer) {
     if (entry->is_done) {
       return;
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -1,13 +1,10 @@
 #include "almondlinkd/node.h"
 
 #include <atomic>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <future>
-#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -21,6 +18,7 @@
 #include "almondlink/server/caller_server.h"
 #include "almondlinkd/admin_routes.h"
 #include "almondlinkd/entry_loop.h"
+#include "almondlinkd/loop.h"
 #include "almondlinkd/platform_thread.h"
 #include "almondlinkd/report.h"
 #include "almondlinkd/shared_state.h"
@@ -41,46 +39,9 @@
 constexpr Millis kUsagePatience{3000};
 constexpr Millis kPullTimeout{2000};
 constexpr Millis kPoll{20};
-constexpr std::int64_t kMsPerSecond = 1000;
-constexpr Millis kReportTimeout{2000};
 constexpr int kExitClean = 0;
 constexpr int kExitForced = 4;
 
-using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
-
-/// An event loop with its thread.
-struct Loop {
-  asio::io_context context{1};
-  WorkGuard guard{context.get_executor()};
-  std::thread thread;
-
-  void Run() {
-    this->thread = std::thread([this]() {
-      const RcuThread rcu;
-      this->context.run();
-    });
-  }
-  void Join() {
-    this->guard.reset();
-    this->context.stop();
-    if (this->thread.joinable()) {
-      this->thread.join();
-    }
-  }
-};
-
-/// Runs `task` on the loop and waits for what it returns; a default value if
-/// the loop does not come to it.
-template <typename T, typename Task>
-T AskLoop(asio::io_context& context, Task task) {
-  auto promise = std::make_shared<std::promise<T>>();
-  std::future<T> future = promise->get_future();
-  asio::post(context, [promise, task]() { promise->set_value(task()); });
-  const std::future_status status =
-      future.wait_for(std::chrono::milliseconds(kReportTimeout.count));
-  return status == std::future_status::ready ? future.get() : T{};
-}
-
 void Sleep(Millis time) {
   std::this_thread::sleep_for(std::chrono::milliseconds(time.count));
 }
@@ -230,24 +191,11 @@
     if (this->claims == nullptr || view == nullptr) {
       return;
     }
-    const std::shared_ptr<const RoutingTable> routes =
-        this->shared->routes.Read();
-    std::set<std::string> services;
-    for (const policy::OperationSpec& operation :
-         view->in_force->bundle->operations) {
-      if (!operation.is_repeatable) {
-        services.insert(operation.service.Value());
-      }
-    }
-    std::size_t claiming = 0;
-    for (const auto& [service, targets] : routes->by_service) {
-      claiming += services.count(service) != 0 ? targets.size() : 0;
-    }
     this->claims->SetClaimLife(view->in_force->bundle->key_lifetime +
                                control::kClockSkew * 2);
-    this->claims->SetInterval(
-        Millis{static_cast<std::int64_t>(claiming) * kMsPerSecond /
-               this->settings.log.claim_appends});
+    this->claims->SetInterval(ClaimInterval(*view->in_force->bundle,
+                                            *this->shared->routes.Read(),
+                                            this->settings.log.claim_appends));
   }
 
   void MakePlatform() {
--- a/almondlinkd/shared_state.cc
+++ b/almondlinkd/shared_state.cc
@@ -1,5 +1,7 @@
 #include "almondlinkd/shared_state.h"
 
+#include <set>
+
 namespace almondlink::daemon {
 
 std::shared_ptr<const RoutingTable> BuildRoutes(
@@ -44,4 +46,21 @@
   return view;
 }
 
+Millis ClaimInterval(const policy::Bundle& bundle,
+                     const RoutingTable& routes,
+                     std::int64_t appends) {
+  constexpr std::int64_t kMsPerSecond = 1000;
+  std::set<std::string> services;
+  for (const policy::OperationSpec& operation : bundle.operations) {
+    if (!operation.is_repeatable) {
+      services.insert(operation.service.Value());
+    }
+  }
+  std::size_t claiming = 0;
+  for (const auto& [service, targets] : routes.by_service) {
+    claiming += services.count(service) != 0 ? targets.size() : 0;
+  }
+  return Millis{static_cast<std::int64_t>(claiming) * kMsPerSecond / appends};
+}
+
 }  // namespace almondlink::daemon
--- a/almondlinkd/shared_state.h
+++ b/almondlinkd/shared_state.h
@@ -81,6 +81,12 @@
     const std::shared_ptr<const policy::InForce>& in_force,
     const std::shared_ptr<const BundleView>& before);
 
+/// Shortest time between two claim appends of one node, so that all nodes that
+/// claim make `appends` a second together.
+Millis ClaimInterval(const policy::Bundle& bundle,
+                     const RoutingTable& routes,
+                     std::int64_t appends);
+
 }  // namespace almondlink::daemon
 
 #endif  // ALMONDLINKD_SHARED_STATE_H_
--- /dev/null
+++ b/almondlinkd/target_call.cc
@@ -0,0 +1,51 @@
+#include "almondlinkd/target_call.h"
+
+#include <string>
+#include <utility>
+
+#include "almondlinkd/classify.h"
+
+namespace almondlink::daemon {
+
+server::TargetRequest MakeRequest(const TargetCall& target_call) {
+  const wire::Call& call = target_call.call;
+  server::TargetRequest request;
+  request.method = call.method;
+  request.target = call.path;
+  request.headers = call.headers;
+  request.body = call.body;
+  request.timeout = target_call.deadline - MonotonicNow();
+  request.needs_fresh_connection = !call.key.empty();
+  request.headers.push_back(
+      {server::kTraceParentHeader,
+       FormatTraceParent(target_call.root, target_call.span)});
+  request.headers.push_back(
+      {server::kTimeoutHeader, std::to_string(request.timeout.count)});
+  request.headers.push_back({server::kTeamHeader, call.team});
+  request.headers.push_back({server::kCallerHeader, call.caller});
+  if (!call.key.empty()) {
+    request.headers.push_back({server::kKeyHeader, call.key});
+  }
+  return request;
+}
+
+wire::Answer MakeAnswer(server::TargetAnswer result) {
+  wire::Answer answer;
+  if (result.error != ErrorKind::kNone) {
+    answer.error = static_cast<std::uint32_t>(result.error);
+    return answer;
+  }
+  const bool is_refusal =
+      server::HeaderValue(result.headers, server::kVerdictHeader) ==
+      ToString(Verdict::kNotRun);
+  if (is_refusal) {
+    answer.error = static_cast<std::uint32_t>(ErrorKind::kTargetRefused);
+    return answer;
+  }
+  answer.status = result.status;
+  answer.headers = std::move(result.headers);
+  answer.body = std::move(result.body);
+  return answer;
+}
+
+}  // namespace almondlink::daemon
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -13,6 +13,7 @@
 #include "almondlink/server/target_client.h"
 #include "almondlinkd/at_most_once.h"
 #include "almondlinkd/classify.h"
+#include "almondlinkd/target_call.h"
 
 namespace almondlink::daemon {
 
@@ -26,19 +27,6 @@
 constexpr double kMicrosPerMilli = 1000;
 constexpr std::uint32_t kServerErrors = 500;
 
-/// A call in the hands of the target's side. Its ticket names it.
-struct TargetCall {
-  mesh::LinkId link{0};
-  wire::Call call;
-  RootId root;
-  Millis deadline;
-  bool is_dispatched = false;
-  bool is_abandoned = false;
-  SpanId span{0};
-  server::TargetCallId at_target{0};
-  LatencyMs sent;
-};
-
 using TargetCallPointer = std::shared_ptr<TargetCall>;
 
 bool IsFailure(ErrorKind kind) {
@@ -46,12 +34,6 @@
          kind == ErrorKind::kTargetBadAnswer;
 }
 
-/// The target's documented way to say that it did not run a request.
-bool IsRefusal(const server::TargetAnswer& answer) {
-  return server::HeaderValue(answer.headers, server::kVerdictHeader) ==
-         ToString(Verdict::kNotRun);
-}
-
 }  // namespace
 
 class TargetSide::Impl : public std::enable_shared_from_this<Impl> {
@@ -300,7 +282,7 @@
     target_call->span = *span;
     target_call->sent = PreciseNow();
     target_call->at_target = this->client.Send(
-        this->MakeRequest(*target_call),
+        MakeRequest(*target_call),
         [weak = this->weak_from_this(), ticket](server::TargetAnswer answer) {
           if (const std::shared_ptr<Impl> self = weak.lock()) {
             self->OnTargetAnswer(ticket, std::move(answer));
@@ -313,28 +295,6 @@
         control::Release(this->Rules(), MonotonicNow(), this->admission));
   }
 
-  server::TargetRequest MakeRequest(const TargetCall& target_call) const {
-    const wire::Call& call = target_call.call;
-    server::TargetRequest request;
-    request.method = call.method;
-    request.target = call.path;
-    request.headers = call.headers;
-    request.body = call.body;
-    request.timeout = target_call.deadline - MonotonicNow();
-    request.needs_fresh_connection = !call.key.empty();
-    request.headers.push_back(
-        {server::kTraceParentHeader,
-         FormatTraceParent(target_call.root, target_call.span)});
-    request.headers.push_back(
-        {server::kTimeoutHeader, std::to_string(request.timeout.count)});
-    request.headers.push_back({server::kTeamHeader, call.team});
-    request.headers.push_back({server::kCallerHeader, call.caller});
-    if (!call.key.empty()) {
-      request.headers.push_back({server::kKeyHeader, call.key});
-    }
-    return request;
-  }
-
   void OnTargetAnswer(control::Ticket ticket, server::TargetAnswer result) {
     const auto found = this->calls.find(ticket);
     if (found == this->calls.end()) {
@@ -342,7 +302,7 @@
     }
     const TargetCallPointer target_call = found->second;
     const LatencyMs took{PreciseNow().count - target_call->sent.count};
-    wire::Answer answer = this->MakeAnswer(std::move(result));
+    wire::Answer answer = MakeAnswer(std::move(result));
     answer.target_us = static_cast<std::uint64_t>(took.count * kMicrosPerMilli);
     this->EndWork(*target_call, answer);
     const ErrorKind kind = ErrorKindFrom(answer.error);
@@ -353,22 +313,6 @@
     this->FinishWith(ticket, std::move(answer));
   }
 
-  wire::Answer MakeAnswer(server::TargetAnswer result) const {
-    wire::Answer answer;
-    if (result.error != ErrorKind::kNone) {
-      answer.error = static_cast<std::uint32_t>(result.error);
-      return answer;
-    }
-    if (IsRefusal(result)) {
-      answer.error = static_cast<std::uint32_t>(ErrorKind::kTargetRefused);
-      return answer;
-    }
-    answer.status = result.status;
-    answer.headers = std::move(result.headers);
-    answer.body = std::move(result.body);
-    return answer;
-  }
-
   void EndWork(const TargetCall& target_call, wire::Answer& answer) {
     const control::WorkTable::Ended ended =
         this->shared.work.End(target_call.span);
--- a/libs/server/src/caller_server.cc
+++ b/libs/server/src/caller_server.cc
@@ -3,13 +3,13 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <chrono>
 #include <optional>
 #include <set>
 #include <utility>
 
+#include "beast_http.h"
+
 namespace almondlink::server {
 
 namespace {
@@ -22,8 +22,6 @@
 using Parser = http::request_parser<http::vector_body<std::uint8_t>>;
 using Response = http::response<http::vector_body<std::uint8_t>>;
 
-constexpr unsigned kHttp11 = 11;
-
 /// What the sessions of a server share.
 struct Shared {
   CallerServerConfig config;
@@ -46,24 +44,6 @@
   return ErrorKind::kMalformedRequest;
 }
 
-bool IsHttpError(beast::error_code error) {
-  return error.category() ==
-         make_error_code(http::error::end_of_stream).category();
-}
-
-/// Fields of a parsed request, without those of the connection.
-Headers TakeHeaders(const http::fields& fields) {
-  Headers headers;
-  for (const auto& field : fields) {
-    wire::Header header{std::string(field.name_string()),
-                        std::string(field.value())};
-    if (!IsHopByHop(header.name)) {
-      headers.push_back(std::move(header));
-    }
-  }
-  return headers;
-}
-
 class Session;
 
 /// Sessions of one loop, so that idle ones can be closed. Only on the loop.
--- a/libs/server/src/target_client.cc
+++ b/libs/server/src/target_client.cc
@@ -3,14 +3,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <chrono>
 #include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "beast_http.h"
+
 namespace almondlink::server {
 
 namespace {
@@ -23,8 +23,6 @@
 using Parser = http::response_parser<http::vector_body<std::uint8_t>>;
 using Request = http::request<http::vector_body<std::uint8_t>>;
 
-constexpr unsigned kHttp11 = 11;
-
 /// One connection to the target.
 struct Connection {
   explicit Connection(asio::io_context& loop) : socket(loop) {}
@@ -58,22 +56,8 @@
   }
   const bool is_cut = error == http::error::end_of_stream ||
                       error == http::error::partial_message;
-  const bool is_http = error.category() ==
-                       make_error_code(http::error::end_of_stream).category();
-  return is_http && !is_cut ? ErrorKind::kTargetBadAnswer
-                            : ErrorKind::kTargetLost;
-}
-
-Headers TakeHeaders(const http::fields& fields) {
-  Headers headers;
-  for (const auto& field : fields) {
-    wire::Header header{std::string(field.name_string()),
-                        std::string(field.value())};
-    if (!IsHopByHop(header.name)) {
-      headers.push_back(std::move(header));
-    }
-  }
-  return headers;
+  return IsHttpError(error) && !is_cut ? ErrorKind::kTargetBadAnswer
+                                       : ErrorKind::kTargetLost;
 }
 
 }  // namespace
--- a/test/process/gossip_test.cc
+++ b/test/process/gossip_test.cc
@@ -19,7 +19,7 @@
 
 namespace asio = boost::asio;
 
-constexpr int kFirstPort = 23600;
+constexpr int kFirstPort = 23450;
 
 std::string AddressOf(int index) {
   return "127.0.0.1:" + std::to_string(kFirstPort + index);
