Limits on rates, and a zone cut from everything while a bundle is released

Cause: sizes of what is read from peers and callers were limited, rates were not; and no test on processes cut a zone off during a release.

Change: a token bucket in control, used per peer link (50,000 messages a second; above it the link is closed), for gossip (2,000 datagrams a second; above it they are dropped unread) and per caller connection (20,000 requests a second; above it the next one is read after a pause). A test releases a version while all that a zone can talk to is stopped, and while the zone itself sleeps: it keeps its bundle, joins, and never shows an older one.

--- a/libs/mesh/include/almondlink/mesh/gossip.h
+++ b/libs/mesh/include/almondlink/mesh/gossip.h
@@ -26,6 +26,8 @@
   control::MembershipRules rules;
   /// Others asked to probe a silent member.
   std::size_t helpers = 3;
+  /// Datagrams a second that are looked at; what is above is dropped unread.
+  double max_rate = 2000;
   /// Tests put losses here: a datagram to an address (`ip:port`) for which it
   /// returns true is not sent. Empty in a node.
   std::function<bool(const std::string&)> is_lost;
@@ -45,6 +47,7 @@
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_messages = 0;
   std::uint64_t received_bytes = 0;
+  /// Without a right HMAC, not decodable, or above the rate.
   std::uint64_t refused_messages = 0;
 };
 
--- a/libs/mesh/include/almondlink/mesh/peer_server.h
+++ b/libs/mesh/include/almondlink/mesh/peer_server.h
@@ -35,6 +35,8 @@
   policy::DeploymentKey key;
   std::size_t max_message = 2 * 1024 * 1024;
   std::size_t max_links = 20'000;
+  /// Messages a second from one link; above it the link is closed.
+  double max_rate = 50'000;
   /// Bytes that may wait to be written to one link before it is closed.
   std::size_t max_buffered = 64 * 1024 * 1024;
 };
--- a/libs/mesh/src/gossip.cc
+++ b/libs/mesh/src/gossip.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/control/rate_limit.h"
 
 namespace almondlink::mesh {
 
@@ -157,7 +158,10 @@
   void OnDatagram(std::size_t size) {
     ++this->stats.received_messages;
     this->stats.received_bytes += size;
-    if (size <= kMacBytes) {
+    const bool is_taken_in =
+        size > kMacBytes && control::TakeFromRate(this->config.max_rate,
+                                                  MonotonicNow(), this->rate);
+    if (!is_taken_in) {
       ++this->stats.refused_messages;
       return;
     }
@@ -405,6 +409,7 @@
   std::map<std::uint64_t, ProbeOut> probes;
   std::uint64_t sequence = 0;
   std::uint64_t rounds = 0;
+  control::RateLimit rate;
   std::uint64_t bundle_offset = 0;
   bool is_stopped = false;
   udp::endpoint sender;
--- a/libs/mesh/src/peer_server.cc
+++ b/libs/mesh/src/peer_server.cc
@@ -6,6 +6,7 @@
 #include <websocketpp/server.hpp>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/control/rate_limit.h"
 #include "link_proof.h"
 
 namespace almondlink::mesh {
@@ -24,6 +25,7 @@
   Handle handle;
   policy::Bytes nonce;
   bool is_proved = false;
+  control::RateLimit rate;
   std::string node;
 };
 
@@ -150,6 +152,10 @@
 
   Result<void> Dispatch(LinkId id, const std::uint8_t* data, std::size_t size) {
     Link& link = this->links.at(id);
+    if (!control::TakeFromRate(this->config.max_rate, MonotonicNow(),
+                               link.rate)) {
+      return Fail(ErrorKind::kBadMessage, "too many messages a second");
+    }
     BOOST_LEAF_AUTO(tag, wire::PeekTag(data, size));
     if (!link.is_proved) {
       BOOST_LEAF_AUTO(hello, wire::DecodeHello(data, size));
--- a/libs/server/include/almondlink/server/caller_server.h
+++ b/libs/server/include/almondlink/server/caller_server.h
@@ -39,6 +39,9 @@
   std::size_t max_body = 1024 * 1024;
   std::size_t max_header = 16 * 1024;
   Millis idle_timeout{60'000};
+  /// Requests a second on one connection; above it the next one is read only
+  /// after a pause.
+  double max_rate = 20'000;
 };
 
 /// Counters of a CallerServer.
--- a/libs/server/src/caller_server.cc
+++ b/libs/server/src/caller_server.cc
@@ -3,11 +3,13 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <optional>
 #include <set>
 #include <utility>
 
+#include "almondlink/control/rate_limit.h"
 #include "beast_http.h"
 
 namespace almondlink::server {
@@ -22,6 +24,8 @@
 using Parser = http::request_parser<http::vector_body<std::uint8_t>>;
 using Response = http::response<http::vector_body<std::uint8_t>>;
 
+constexpr Millis kRatePause{10};
+
 /// What the sessions of a server share.
 struct Shared {
   CallerServerConfig config;
@@ -57,6 +61,7 @@
           std::shared_ptr<Shared> shared,
           std::shared_ptr<SessionSet> sessions)
       : stream(std::move(socket)),
+        pause(this->stream.get_executor()),
         loop(loop),
         shared(std::move(shared)),
         sessions(std::move(sessions)) {}
@@ -228,11 +233,27 @@
                         } else if (is_close) {
                           self->CloseGracefully();
                         } else {
-                          self->ReadHeader();
+                          self->ReadNext();
                         }
                       });
   }
 
+  /// Reads on, after a pause if the caller sends too fast.
+  void ReadNext() {
+    if (control::TakeFromRate(this->shared->config.max_rate, MonotonicNow(),
+                              this->rate)) {
+      this->ReadHeader();
+      return;
+    }
+    this->pause.expires_after(std::chrono::milliseconds(kRatePause.count));
+    this->pause.async_wait(
+        [self = this->shared_from_this()](beast::error_code error) {
+          if (!error) {
+            self->ReadNext();
+          }
+        });
+  }
+
   /// Closes after the answer; what the caller still sends is read first, since
   /// closing on unread bytes resets the connection and may destroy the answer
   /// on its way.
@@ -263,6 +284,8 @@
   }
 
   beast::tcp_stream stream;
+  asio::steady_timer pause;
+  control::RateLimit rate;
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
   const std::size_t loop;
--- a/test/process/bundle_test.cc
+++ b/test/process/bundle_test.cc
@@ -1,6 +1,10 @@
+#include <signal.h>
+
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <fstream>
 #include <regex>
+#include <thread>
 
 #include "test/support/cluster.h"
 
@@ -149,6 +153,61 @@
   cluster.WaitReady(6);
 }
 
+TEST_CASE(
+    "a zone cut from everything keeps its bundle and joins without going "
+    "back") {
+  Cluster cluster(22780, "bundle-zones");
+  cluster.StartLog();
+  std::vector<Instance*> near;
+  std::vector<Instance*> far;
+  for (int i = 0; i < 4; ++i) {
+    InstanceSpec spec{"shop-" + std::to_string(i),
+                      i < 2 ? "zone-near" : "zone-far", "shop"};
+    // The far zone reaches the log only through the near one.
+    spec.has_log = i < 2;
+    (i < 2 ? near : far).push_back(&cluster.Add(spec));
+  }
+  cluster.Release(ShopBundle(1));
+  for (const Instance* node : far) {
+    REQUIRE(HasVersion(cluster, *node, 1));
+  }
+  const auto signal_all = [](const std::vector<Instance*>& zone, int number) {
+    for (const Instance* node : zone) {
+      node->node->Signal(number);
+    }
+  };
+  // The far zone is cut off by stopping everything it can talk to, and the
+  // release is accepted by the log meanwhile.
+  const std::string id = Prepare(cluster, 2, "op1", "op2");
+  signal_all(near, SIGSTOP);
+  std::string output;
+  REQUIRE(ReleaseId(cluster, id, "op1", output) == 0);
+  for (int i = 0; i < 10; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(VersionAt(cluster, *far[0]) == 1);
+  }
+  REQUIRE(cluster.Call(*far[0], MakeRequest("GET", "shop", "/items/1", "z"))
+              .Header("almondlink-verdict") != "");
+  signal_all(near, SIGCONT);
+  for (const Instance* node : near) {
+    REQUIRE(HasVersion(cluster, *node, 2));
+  }
+  for (const Instance* node : far) {
+    REQUIRE(HasVersion(cluster, *node, 2));
+  }
+  // The other way round: the far zone sleeps through a release.
+  signal_all(far, SIGSTOP);
+  cluster.Release(ShopBundle(3));
+  signal_all(far, SIGCONT);
+  for (const Instance* node : far) {
+    REQUIRE(Eventually([&]() {
+      const std::uint64_t version = VersionAt(cluster, *node);
+      REQUIRE(version >= 2);
+      return version == 3;
+    }));
+  }
+}
+
 TEST_CASE("the bundle outlives the log's retention") {
   Cluster cluster(22720, "bundle-retention");
   cluster.StartLog();
