--- a/almondlink/flags.cc
+++ b/almondlink/flags.cc
@@ -27,13 +27,13 @@
   return {};
 }
 
-Result<std::unique_ptr<platform::Log>> OpenLog() {
+Result<std::unique_ptr<record_log::Log>> OpenLog() {
   BOOST_LEAF_CHECK(RequireFlag(FLAGS_log, "log"));
   BOOST_LEAF_CHECK(RequireFlag(FLAGS_deployment, "deployment"));
-  platform::LogClientConfig config;
+  record_log::LogClientConfig config;
   BOOST_LEAF_ASSIGN(config.address, config::ParseEndpoint(FLAGS_log));
   config.timeout = Millis{5000};
-  return platform::MakeHttpLog(config);
+  return record_log::MakeHttpLog(config);
 }
 
 Result<policy::DeploymentKey> DeploymentKeyFromFlags() {
--- a/almondlink/flags.h
+++ b/almondlink/flags.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "almondlink/base/error.h"
-#include "almondlink/platform/log_client.h"
+#include "almondlink/record_log/log_client.h"
 #include "almondlink/policy/fold.h"
 #include "almondlink/policy/signing.h"
 
@@ -21,7 +21,7 @@
 namespace almondlink::tool {
 
 /// The log named by --log. Errors: kBadSettings.
-Result<std::unique_ptr<platform::Log>> OpenLog();
+Result<std::unique_ptr<record_log::Log>> OpenLog();
 
 /// Rules of the release fold from the flags. Errors: kBadSettings, kIo.
 Result<policy::FoldRules> FoldRulesFromFlags();
@@ -34,8 +34,8 @@
 
 /// Reads a whole stream; `apply(page)` takes each page. Errors: of the log.
 template <typename Apply>
-Result<void> ReadWhole(platform::Log& log,
-                       const platform::StreamName& stream,
+Result<void> ReadWhole(record_log::Log& log,
+                       const record_log::StreamName& stream,
                        Apply apply) {
   std::uint64_t next = 0;
   while (true) {
--- a/almondlink/peer_query.cc
+++ b/almondlink/peer_query.cc
@@ -45,7 +45,7 @@
   BOOST_LEAF_AUTO(log, OpenLog());
   std::map<std::string, wire::Member> newest;
   BOOST_LEAF_CHECK(ReadWhole(
-      *log, platform::MemberStream(FLAGS_deployment),
+      *log, record_log::MemberStream(FLAGS_deployment),
       [&newest](const wire::LogPage& page) {
         for (const wire::LogEntry& entry : page.entries) {
           HandleFailure(
--- a/almondlink/usage_command.cc
+++ b/almondlink/usage_command.cc
@@ -45,7 +45,7 @@
   BOOST_LEAF_AUTO(log, OpenLog());
   std::vector<wire::UsageRecord> records;
   BOOST_LEAF_CHECK(ReadWhole(
-      *log, platform::UsageStream(FLAGS_deployment),
+      *log, record_log::UsageStream(FLAGS_deployment),
       [&records](const wire::LogPage& page) {
         for (const wire::LogEntry& entry : page.entries) {
           HandleFailure(
--- a/almondlinkd/at_most_once.cc
+++ b/almondlinkd/at_most_once.cc
@@ -11,7 +11,7 @@
 
 AtMostOnce::AtMostOnce(boost::asio::io_context& loop,
                        SharedState& shared,
-                       platform::ClaimWriter* claims,
+                       record_log::ClaimWriter* claims,
                        KeyHooks hooks)
     : loop(loop), shared(shared), claims(claims), hooks(std::move(hooks)) {}
 
@@ -132,13 +132,13 @@
     this->Finish(call.ticket, ErrorKind::kLogUnavailable);
     return;
   }
-  platform::ClaimRequest request;
+  record_log::ClaimRequest request;
   request.key = IdempotencyKey(call.key);
   request.made = *made;
   request.deadline = call.deadline;
   request.done = [weak = this->weak_from_this(), &loop = this->loop,
                   ticket = call.ticket,
-                  key = call.key](const platform::ClaimResult& result) {
+                  key = call.key](const record_log::ClaimResult& result) {
     boost::asio::post(loop, [weak, ticket, key, result]() {
       if (const std::shared_ptr<AtMostOnce> self = weak.lock()) {
         self->OnClaim(ticket, key, result);
@@ -150,19 +150,19 @@
 
 void AtMostOnce::OnClaim(control::Ticket ticket,
                          const std::string& key,
-                         const platform::ClaimResult& result) {
+                         const record_log::ClaimResult& result) {
   KeyEntry* entry = control::FindKey(key, this->keys);
   if (entry == nullptr) {
     return;
   }
-  if (result.outcome == platform::ClaimOutcome::kWon) {
+  if (result.outcome == record_log::ClaimOutcome::kWon) {
     entry->state = KeyState::kHeld;
     entry->waiting.insert(entry->waiting.begin(), ticket.Value());
     this->RunNext(*entry);
     return;
   }
   wire::Answer answer;
-  if (result.outcome == platform::ClaimOutcome::kLost) {
+  if (result.outcome == record_log::ClaimOutcome::kLost) {
     answer.error = static_cast<std::uint32_t>(ErrorKind::kDuplicate);
     answer.winner = result.holder.Value();
   } else {
--- a/almondlinkd/at_most_once.h
+++ b/almondlinkd/at_most_once.h
@@ -12,7 +12,7 @@
 #include "almondlink/control/admission.h"
 #include "almondlink/control/idempotency_key.h"
 #include "almondlink/control/key_table.h"
-#include "almondlink/platform/claim_writer.h"
+#include "almondlink/record_log/claim_writer.h"
 #include "almondlinkd/shared_state.h"
 
 namespace almondlink::daemon {
@@ -44,7 +44,7 @@
   /// `claims` may be null: then only minted keys work.
   AtMostOnce(boost::asio::io_context& loop,
              SharedState& shared,
-             platform::ClaimWriter* claims,
+             record_log::ClaimWriter* claims,
              KeyHooks hooks);
 
   /// A fresh key that this incarnation alone knows.
@@ -84,7 +84,7 @@
   void StartClaim(const KeyedCall& call);
   void OnClaim(control::Ticket ticket,
                const std::string& key,
-               const platform::ClaimResult& result);
+               const record_log::ClaimResult& result);
   void Run(control::Ticket ticket, control::KeyEntry& entry);
   void RunNext(control::KeyEntry& entry);
   void Settle(control::KeyEntry& entry, const wire::Answer& answer);
@@ -92,7 +92,7 @@
 
   boost::asio::io_context& loop;
   SharedState& shared;
-  platform::ClaimWriter* const claims;
+  record_log::ClaimWriter* const claims;
   const KeyHooks hooks;
   const control::KeyTableLimits limits;
   control::KeyTable keys;
--- a/almondlinkd/main.cc
+++ b/almondlinkd/main.cc
@@ -8,6 +8,7 @@
 #include "almondlink/base/rcu.h"
 #include "almondlink/config/load_settings.h"
 #include "almondlinkd/node.h"
+#include "platform/sidecar.h"
 
 /// almondlinkd: one node beside one target.
 ///
@@ -46,6 +47,9 @@
     return 0;
   }
   almondlink::StartLogging(settings.node.id, level);
+  if (settings.relay.enabled) {
+    return almondlink::platform::RunSidecar(FLAGS_config, settings);
+  }
   const almondlink::RcuThread rcu;
   almondlink::daemon::Node node(settings);
   const int started = almondlink::HandleFailure(
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -199,7 +199,7 @@
   }
 
   void MakePlatform() {
-    platform::LogClientConfig log_config;
+    record_log::LogClientConfig log_config;
     log_config.address = this->settings.log.address;
     log_config.timeout = this->settings.log.timeout;
     PlatformHooks hooks;
@@ -222,16 +222,16 @@
     };
     hooks.usage = [this]() { return this->GatherUsage(); };
     this->platform = std::make_unique<PlatformThread>(
-        *this->shared, platform::MakeHttpLog(log_config), std::move(hooks));
+        *this->shared, record_log::MakeHttpLog(log_config), std::move(hooks));
     if (!this->settings.target.service.empty()) {
-      platform::ClaimWriterConfig claim_config;
+      record_log::ClaimWriterConfig claim_config;
       claim_config.node = NodeId(this->settings.node.id);
       claim_config.incarnation = this->shared->incarnation;
-      claim_config.stream = platform::ClaimStream(
+      claim_config.stream = record_log::ClaimStream(
           this->settings.node.deployment, this->settings.target.service);
       claim_config.retention = this->settings.log.retention;
-      this->claims = std::make_unique<platform::ClaimWriter>(
-          claim_config, platform::MakeHttpLog(log_config));
+      this->claims = std::make_unique<record_log::ClaimWriter>(
+          claim_config, record_log::MakeHttpLog(log_config));
     }
   }
 
@@ -470,7 +470,7 @@
   // Loops before what runs on them, so that they outlive it.
   Loop target_loop;
   std::vector<std::unique_ptr<Loop>> entry_loops;
-  std::unique_ptr<platform::ClaimWriter> claims;
+  std::unique_ptr<record_log::ClaimWriter> claims;
   std::unique_ptr<PlatformThread> platform;
   std::unique_ptr<TargetSide> target;
   std::unique_ptr<mesh::PeerServer> peers;
--- a/almondlinkd/platform_thread.cc
+++ b/almondlinkd/platform_thread.cc
@@ -47,7 +47,7 @@
 class PlatformThread::Impl {
  public:
   Impl(SharedState& shared,
-       std::unique_ptr<platform::Log> log,
+       std::unique_ptr<record_log::Log> log,
        PlatformHooks hooks)
       : shared(shared),
         log(std::move(log)),
@@ -206,7 +206,7 @@
 
   /// Reads one stream to its end; `apply` takes each page.
   template <typename Apply>
-  bool ReadStream(const platform::StreamName& stream,
+  bool ReadStream(const record_log::StreamName& stream,
                   std::uint64_t& next,
                   Apply apply) {
     bool is_at_end = false;
@@ -239,7 +239,7 @@
       next = this->fold.next_offset;
     }
     this->ReadStream(
-        platform::BundleStream(this->shared.settings.node.deployment), next,
+        record_log::BundleStream(this->shared.settings.node.deployment), next,
         [this](const wire::LogPage& page) { this->ApplyBundles(page); });
   }
 
@@ -300,7 +300,7 @@
       return;
     }
     const bool is_done = this->Append(
-        platform::BundleStream(this->shared.settings.node.deployment),
+        record_log::BundleStream(this->shared.settings.node.deployment),
         wire::Encode(policy::MakeSnapshot(this->rules, *in_force)));
     if (is_done) {
       LogEvent(kEventBundleKept,
@@ -312,7 +312,7 @@
   bool ReadMembers() {
     std::vector<wire::Member> members;
     const bool is_read = this->ReadStream(
-        platform::MemberStream(this->shared.settings.node.deployment),
+        record_log::MemberStream(this->shared.settings.node.deployment),
         this->members_next, [&members](const wire::LogPage& page) {
           for (const wire::LogEntry& entry : page.entries) {
             HandleFailure(
@@ -336,7 +336,7 @@
     wire::MemberRecord record;
     record.member = this->hooks.self();
     return this->Append(
-        platform::MemberStream(this->shared.settings.node.deployment),
+        record_log::MemberStream(this->shared.settings.node.deployment),
         wire::Encode(std::move(record)));
   }
 
@@ -356,11 +356,11 @@
       record.sequence = ++this->usage_sequence;
     }
     return this->Append(
-        platform::UsageStream(this->shared.settings.node.deployment),
+        record_log::UsageStream(this->shared.settings.node.deployment),
         wire::Encode(std::move(record)));
   }
 
-  bool Append(const platform::StreamName& stream,
+  bool Append(const record_log::StreamName& stream,
               const std::vector<std::uint8_t>& record) {
     const bool is_done = HandleFailure(
         [&]() -> Result<bool> {
@@ -375,7 +375,7 @@
   }
 
   SharedState& shared;
-  const std::unique_ptr<platform::Log> log;
+  const std::unique_ptr<record_log::Log> log;
   const PlatformHooks hooks;
   policy::FoldRules rules;
   std::mt19937_64 random;
@@ -393,7 +393,7 @@
 };
 
 PlatformThread::PlatformThread(SharedState& shared,
-                               std::unique_ptr<platform::Log> log,
+                               std::unique_ptr<record_log::Log> log,
                                PlatformHooks hooks)
     : impl(std::make_unique<Impl>(shared, std::move(log), std::move(hooks))) {}
 
--- a/almondlinkd/platform_thread.h
+++ b/almondlinkd/platform_thread.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "almondlink/control/usage.h"
-#include "almondlink/platform/log_client.h"
+#include "almondlink/record_log/log_client.h"
 #include "almondlink/policy/fold.h"
 #include "almondlinkd/shared_state.h"
 
@@ -44,7 +44,7 @@
 class PlatformThread {
  public:
   PlatformThread(SharedState& shared,
-                 std::unique_ptr<platform::Log> log,
+                 std::unique_ptr<record_log::Log> log,
                  PlatformHooks hooks);
   /// Stops the thread without a last usage record.
   ~PlatformThread();
--- a/almondlinkd/report.h
+++ b/almondlinkd/report.h
@@ -6,7 +6,7 @@
 
 #include "almondlink/control/membership.h"
 #include "almondlink/mesh/gossip.h"
-#include "almondlink/platform/claim_writer.h"
+#include "almondlink/record_log/claim_writer.h"
 #include "almondlink/server/caller_server.h"
 #include "almondlinkd/entry_loop.h"
 #include "almondlinkd/platform_thread.h"
@@ -27,7 +27,7 @@
   std::vector<EntryReport> entries;
   server::CallerServerStats callers;
   PlatformReport platform;
-  platform::ClaimWriterStats claims;
+  record_log::ClaimWriterStats claims;
   std::size_t work_open = 0;
   std::int64_t calls_open = 0;
   bool is_draining = false;
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -40,7 +40,7 @@
  public:
   Impl(boost::asio::io_context& loop,
        SharedState& shared,
-       platform::ClaimWriter* claims,
+       record_log::ClaimWriter* claims,
        AnswerSender send)
       : loop(loop),
         shared(shared),
@@ -465,7 +465,7 @@
 
 TargetSide::TargetSide(boost::asio::io_context& loop,
                        SharedState& shared,
-                       platform::ClaimWriter* claims,
+                       record_log::ClaimWriter* claims,
                        AnswerSender send)
     : impl(std::make_shared<Impl>(loop, shared, claims, std::move(send))) {
   this->impl->Start();
--- a/almondlinkd/target_side.h
+++ b/almondlinkd/target_side.h
@@ -9,7 +9,7 @@
 #include "almondlink/base/metrics.h"
 #include "almondlink/control/admission.h"
 #include "almondlink/mesh/peer_server.h"
-#include "almondlink/platform/claim_writer.h"
+#include "almondlink/record_log/claim_writer.h"
 #include "almondlinkd/shared_state.h"
 
 namespace almondlink::daemon {
@@ -41,7 +41,7 @@
   /// `claims` may be null for a target without at-most-once operations.
   TargetSide(boost::asio::io_context& loop,
              SharedState& shared,
-             platform::ClaimWriter* claims,
+             record_log::ClaimWriter* claims,
              AnswerSender send);
   ~TargetSide();
   TargetSide(const TargetSide&) = delete;
--- a/cmake/almondlink.cmake
+++ b/cmake/almondlink.cmake
@@ -10,6 +10,9 @@
 
 # almondlink_tests(NAME DEPS...): one Catch2 program from tests/*.cc.
 function(almondlink_tests name)
+  if(NOT ALMONDLINK_TESTS)
+    return()
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
   if(sources)
     add_executable(test_${name} ${sources} $<TARGET_OBJECTS:catch_main>)
--- a/libs/base/include/almondlink/base/clock.h
+++ b/libs/base/include/almondlink/base/clock.h
@@ -48,6 +48,10 @@
 /// Milliseconds of the monotonic clock. Thread safe.
 Millis MonotonicNow();
 
+/// Milliseconds of the monotonic clock that also counts the time for which the
+/// host was suspended; for ages, leases and deadlines of others. Thread safe.
+Millis BootTimeNow();
+
 /// Milliseconds since 1970 of the wall clock; used only where records of
 /// several hosts are compared. Thread safe.
 Millis WallNow();
--- a/libs/base/include/almondlink/base/event_log.h
+++ b/libs/base/include/almondlink/base/event_log.h
@@ -45,6 +45,20 @@
 constexpr Event kEventTargetSetAside{401, Level::kWarning, "target-set-aside"};
 constexpr Event kEventTargetBack{402, Level::kInfo, "target-back"};
 constexpr Event kEventTargetProtocol{403, Level::kWarning, "target-protocol"};
+// Requests and what a relay believes.
+constexpr Event kEventRefusedAtEntry{600, Level::kInfo, "refused-at-entry"};
+constexpr Event kEventNotRun{601, Level::kInfo, "not-run"};
+constexpr Event kEventOutcomeUnknown{602, Level::kWarning, "outcome-unknown"};
+constexpr Event kEventSentAgain{603, Level::kInfo, "sent-again"};
+constexpr Event kEventAttemptFailed{604, Level::kInfo, "attempt-failed"};
+constexpr Event kEventTargetCallFailed{605, Level::kInfo, "target-call-failed"};
+constexpr Event kEventNoRoute{606, Level::kInfo, "no-route"};
+constexpr Event kEventPolicyTaken{610, Level::kInfo, "policy-taken"};
+constexpr Event kEventInstance{611, Level::kInfo, "instance"};
+constexpr Event kEventPeerSeen{612, Level::kInfo, "peer-seen"};
+constexpr Event kEventStoreLost{613, Level::kWarning, "store-lost"};
+constexpr Event kEventStoreBack{614, Level::kInfo, "store-back"};
+constexpr Event kEventReloaded{615, Level::kInfo, "reloaded"};
 // Tracing.
 constexpr Event kEventTraceOn{500, Level::kInfo, "trace-on"};
 constexpr Event kEventTraceOff{501, Level::kInfo, "trace-off"};
--- a/libs/base/src/clock.cc
+++ b/libs/base/src/clock.cc
@@ -1,6 +1,7 @@
 #include "almondlink/base/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace almondlink {
 
@@ -19,6 +20,15 @@
   return Now<std::chrono::steady_clock>();
 }
 
+Millis BootTimeNow() {
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  constexpr std::int64_t kNanosPerMilli = 1'000'000;
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Millis{time.tv_sec * kMillisPerSecond +
+                time.tv_nsec / kNanosPerMilli};
+}
+
 Millis WallNow() {
   return Now<std::chrono::system_clock>();
 }
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -63,7 +63,7 @@
 /// Section [mesh]: Links between nodes.
 struct MeshSettings {
   /// File with the deployment key, 64 hexadecimal digits; peers prove that they
-  /// hold it.
+  /// hold it. Required unless [relay] is enabled.
   std::string key_file;
   /// Peer addresses to ask for state when the log cannot be read.
   std::vector<Endpoint> seeds;
@@ -99,6 +99,7 @@
 /// Section [bundle]: Who may release a bundle.
 struct BundleSettings {
   /// Ed25519 public keys (hexadecimal) of the operators, separated by spaces.
+  /// Required unless [relay] is enabled.
   std::vector<std::string> operators;
   /// Distinct operators that must sign, the proposer included.
   std::int64_t signatures;
@@ -110,6 +111,33 @@
   Millis interval;
 };
 
+/// Section [relay]: The node as a relay on the users' platform (platform/), in
+/// place of its own interface.
+struct RelaySettings {
+  /// Run as a relay: plain HTTP callers, policy and directory from the
+  /// platform's store at [log] address. [mesh], [bundle] and [metering] are
+  /// then not used.
+  bool enabled;
+  /// Where the target beside the node reports itself, ip:port.
+  Endpoint report_address;
+  /// Where metrics and the state are read, ip:port; the admin address then
+  /// answers readiness checks only.
+  Endpoint metrics_address;
+  /// Addresses of other hosts, ip:port separated by commas, whose nodes are
+  /// asked for others when the store cannot be read.
+  std::string seeds;
+  /// A target that leaves gets nothing more after this.
+  Millis drain;
+  /// Time between the stop signal and the forced end.
+  Millis grace;
+  /// Repeats at a service may reach this part of its requests, over all nodes.
+  double repeat_ratio;
+  /// Window of that bound.
+  Millis repeat_window;
+  /// Repeats allowed in the window besides.
+  double repeat_fixed;
+};
+
 /// Section [logging]: The node's own log.
 struct LoggingSettings {
   /// debug, info, warning or error.
@@ -127,6 +155,7 @@
   LogSettings log;
   BundleSettings bundle;
   MeteringSettings metering;
+  RelaySettings relay;
   LoggingSettings logging;
 };
 
--- a/libs/config/src/load_settings.cc
+++ b/libs/config/src/load_settings.cc
@@ -99,6 +99,17 @@
   return {};
 }
 
+Result<void> CheckRelay(const IniFile& file, const Settings& settings) {
+  if (!settings.target.address.IsSet() ||
+      !settings.relay.report_address.IsSet()) {
+    return Fail(ErrorKind::kBadSettings,
+                file.name +
+                    ": [relay] enabled: needs [target] service and address and "
+                    "[relay] report_address");
+  }
+  return {};
+}
+
 Result<void> CheckTogether(const IniFile& file, const Settings& settings) {
   if (!settings.node.admin_address.IsLoopback() &&
       !settings.node.admin_public) {
@@ -112,6 +123,15 @@
         ErrorKind::kBadSettings,
         file.name + ": [target] service and address: give both or neither");
   }
+  if (settings.relay.enabled) {
+    return CheckRelay(file, settings);
+  }
+  const bool has_key = !settings.mesh.key_file.empty();
+  if (!has_key || settings.bundle.operators.empty()) {
+    return Fail(ErrorKind::kBadSettings,
+                file.name + (has_key ? ": [bundle] operators: required"
+                                     : ": [mesh] key_file: required"));
+  }
   if (settings.bundle.operators.size() <
       static_cast<std::size_t>(settings.bundle.signatures)) {
     return Fail(ErrorKind::kBadSettings,
--- /dev/null
+++ b/libs/control/src/placement.cc
@@ -0,0 +1,110 @@
+#include "almondlink/control/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondlink::control {
+
+namespace {
+
+/// Another zone is used when it is this much faster: bytes between zones are
+/// paid for, and the way there and back takes some milliseconds.
+constexpr double kZoneFactor = 1.3;
+constexpr double kZoneMs = 3;
+/// Shape of the wait below full occupancy: 2 % of the work at one half, a half
+/// of it at 0.8, twice the work when every slot is taken.
+constexpr double kWaitPower = 6;
+constexpr double kWaitAtFull = 2;
+/// Extra wait for each whole turn of the slots that already waits.
+constexpr double kWaitPerTurn = 4;
+constexpr double kUnknownWorkMs = 10;
+
+struct Candidates {
+  std::vector<std::size_t> near;
+  std::vector<std::size_t> far;
+};
+
+Candidates FindCandidates(const std::vector<PlaceView>& views, Millis now) {
+  std::size_t open = 0;
+  std::size_t set_aside = 0;
+  for (const PlaceView& view : views) {
+    open += view.is_open ? 1 : 0;
+    set_aside += view.is_open && !MayUse(now, view.health) ? 1 : 0;
+  }
+  const bool is_health_ignored = set_aside > MostSetAside(open);
+  Candidates found;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    const PlaceView& view = views[i];
+    const bool is_usable = view.is_open && !view.is_tried &&
+                           (is_health_ignored || MayUse(now, view.health));
+    if (is_usable) {
+      (view.is_own_zone ? found.near : found.far).push_back(i);
+    }
+  }
+  return found;
+}
+
+double TypicalWork(const std::vector<PlaceView>& views) {
+  double sum = 0;
+  std::size_t known = 0;
+  for (const PlaceView& view : views) {
+    if (view.is_open && view.work_ms > 0) {
+      sum += view.work_ms;
+      ++known;
+    }
+  }
+  return known == 0 ? kUnknownWorkMs : sum / static_cast<double>(known);
+}
+
+std::optional<std::size_t> CheaperOfTwo(const std::vector<PlaceView>& views,
+                                        const std::vector<std::size_t>& from,
+                                        double typical_ms,
+                                        double first_draw,
+                                        double second_draw) {
+  if (from.empty()) {
+    return std::nullopt;
+  }
+  const auto count = static_cast<double>(from.size());
+  const std::size_t first =
+      std::min(from.size() - 1, static_cast<std::size_t>(first_draw * count));
+  std::size_t second = first;
+  if (from.size() > 1) {
+    const std::size_t step = std::min(
+        from.size() - 2, static_cast<std::size_t>(second_draw * (count - 1)));
+    second = (first + 1 + step) % from.size();
+  }
+  const bool is_first = PlaceCost(views[from[first]], typical_ms) <=
+                        PlaceCost(views[from[second]], typical_ms);
+  return is_first ? from[first] : from[second];
+}
+
+}  // namespace
+
+double PlaceCost(const PlaceView& view, double typical_ms) {
+  const double work = view.work_ms > 0 ? view.work_ms : typical_ms;
+  const double slots = std::max(1U, view.slots);
+  const double occupied = (view.told_load + view.sent_since + 1) / slots;
+  const double below = std::min(1.0, occupied);
+  const double wait = kWaitAtFull * std::pow(below, kWaitPower) +
+                      kWaitPerTurn * std::max(0.0, occupied - 1);
+  return work * (1 + wait);
+}
+
+std::optional<std::size_t> ChoosePlace(const std::vector<PlaceView>& views,
+                                       Millis now,
+                                       const PlaceDraws& draws) {
+  const Candidates found = FindCandidates(views, now);
+  const double typical_ms = TypicalWork(views);
+  const std::optional<std::size_t> near = CheaperOfTwo(
+      views, found.near, typical_ms, draws.near_first, draws.near_second);
+  const std::optional<std::size_t> far = CheaperOfTwo(
+      views, found.far, typical_ms, draws.far_first, draws.far_second);
+  if (!near.has_value() || !far.has_value()) {
+    return near.has_value() ? near : far;
+  }
+  const double near_cost = PlaceCost(views[*near], typical_ms);
+  const double far_cost = PlaceCost(views[*far], typical_ms);
+  return near_cost <= kZoneFactor * far_cost + kZoneMs ? near : far;
+}
+
+}  // namespace almondlink::control
--- a/libs/platform/include/almondlink/platform/claim_writer.h
+++ b/libs/record_log/include/almondlink/record_log/claim_writer.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_PLATFORM_CLAIM_WRITER_H_
-#define ALMONDLINK_PLATFORM_CLAIM_WRITER_H_
+#ifndef ALMONDLINK_RECORD_LOG_CLAIM_WRITER_H_
+#define ALMONDLINK_RECORD_LOG_CLAIM_WRITER_H_
 
 #include <cstdint>
 #include <functional>
@@ -8,9 +8,9 @@
 
 #include "almondlink/base/clock.h"
 #include "almondlink/base/ids.h"
-#include "almondlink/platform/log_client.h"
+#include "almondlink/record_log/log_client.h"
 
-namespace almondlink::platform {
+namespace almondlink::record_log {
 
 /// What became of a claim.
 enum class ClaimOutcome {
@@ -92,6 +92,6 @@
   std::unique_ptr<Impl> impl;
 };
 
-}  // namespace almondlink::platform
+}  // namespace almondlink::record_log
 
-#endif  // ALMONDLINK_PLATFORM_CLAIM_WRITER_H_
+#endif  // ALMONDLINK_RECORD_LOG_CLAIM_WRITER_H_
--- a/libs/platform/include/almondlink/platform/log_client.h
+++ b/libs/record_log/include/almondlink/record_log/log_client.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_PLATFORM_LOG_CLIENT_H_
-#define ALMONDLINK_PLATFORM_LOG_CLIENT_H_
+#ifndef ALMONDLINK_RECORD_LOG_LOG_CLIENT_H_
+#define ALMONDLINK_RECORD_LOG_LOG_CLIENT_H_
 
 #include <cstdint>
 #include <memory>
@@ -12,7 +12,7 @@
 #include "almondlink/config/setting.h"
 #include "almondlink/wire/messages.generated.h"
 
-namespace almondlink::platform {
+namespace almondlink::record_log {
 
 using StreamName = Strong<struct StreamNameTag, std::string>;
 
@@ -55,6 +55,6 @@
 /// under it.
 std::unique_ptr<Log> MakeHttpLog(const LogClientConfig& config);
 
-}  // namespace almondlink::platform
+}  // namespace almondlink::record_log
 
-#endif  // ALMONDLINK_PLATFORM_LOG_CLIENT_H_
+#endif  // ALMONDLINK_RECORD_LOG_LOG_CLIENT_H_
--- a/libs/platform/src/claim_writer.cc
+++ b/libs/record_log/src/claim_writer.cc
@@ -1,4 +1,4 @@
-#include "almondlink/platform/claim_writer.h"
+#include "almondlink/record_log/claim_writer.h"
 
 #include <algorithm>
 #include <atomic>
@@ -13,7 +13,7 @@
 #include "almondlink/base/event_log.h"
 #include "almondlink/control/claims.h"
 
-namespace almondlink::platform {
+namespace almondlink::record_log {
 
 namespace {
 
@@ -339,4 +339,4 @@
   return this->impl->Stats();
 }
 
-}  // namespace almondlink::platform
+}  // namespace almondlink::record_log
--- a/libs/platform/src/log_client.cc
+++ b/libs/record_log/src/log_client.cc
@@ -1,11 +1,11 @@
-#include "almondlink/platform/log_client.h"
+#include "almondlink/record_log/log_client.h"
 
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/ioerror.h>
 #include <cxxtools/timespan.h>
 
-namespace almondlink::platform {
+namespace almondlink::record_log {
 
 namespace {
 
@@ -94,4 +94,4 @@
   return std::make_unique<HttpLog>(config);
 }
 
-}  // namespace almondlink::platform
+}  // namespace almondlink::record_log
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -0,0 +1,122 @@
+#ifndef ALMONDLINK_RELAY_ENTRY_CALLS_H_
+#define ALMONDLINK_RELAY_ENTRY_CALLS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "almondlink/base/metrics.h"
+#include "almondlink/control/chain_admission.h"
+#include "almondlink/control/repeat_allowance.h"
+#include "almondlink/policy/route_table.h"
+#include "almondlink/relay/caller_port.h"
+#include "almondlink/relay/peer_table.h"
+#include "almondlink/relay/relay_settings.h"
+
+/// Requests of the callers on this host: which route, whether let in, to which
+/// target, whether once more, and the one answer.
+///
+/// A request is dispatched by the node that took it and by no other, so a
+/// request that may run once needs no agreement: it is sent on at most once
+/// after a send whose outcome is unknown, and *not run* is said only if no
+/// target got a byte of it or every target that did said so itself.
+namespace almondlink::relay {
+
+/// Counters for metrics; all only grow.
+struct EntryCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused_at_entry = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t timed_out = 0;
+  std::uint64_t no_route = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t moved = 0;
+};
+
+/// Not thread safe: belongs to one loop.
+class EntryCalls {
+ public:
+  EntryCalls(const RelaySettings& settings,
+             PeerTable& peers,
+             ServedCalls& served);
+  ~EntryCalls();
+  EntryCalls(const EntryCalls&) = delete;
+  EntryCalls& operator=(const EntryCalls&) = delete;
+
+  void SetTable(policy::RouteTablePointer table);
+  const policy::RouteTablePointer& Table() const { return this->table; }
+
+  /// Takes a request of a caller.
+  void OnRequest(RequestHead head,
+                 std::string body,
+                 const CallerExchangePointer& exchange);
+
+  /// Frames from the node beside a target.
+  void OnAnswer(const PeerPointer& peer, const AnswerFrame& frame);
+  void OnPart(const PeerPointer& peer, const DataFrame& frame);
+  /// The link to a node is gone, and with it the attempts there.
+  void OnLinkLost(const PeerPointer& peer);
+
+  /// Time-outs; call every few tens of milliseconds.
+  void Sweep(Millis now);
+  /// Works the admission out anew; call every 100 ms.
+  void UpdateAdmission(Millis now);
+
+  /// Ends all calls that are still open, because the process ends.
+  void EndAll();
+
+  std::size_t Open() const { return this->calls.size(); }
+  const EntryCounters& Counters() const { return this->counters; }
+  const control::ChainAdmission& Admission() const { return this->admission; }
+  LatencySummary AddedTime() const { return this->added.Summary(); }
+
+ private:
+  struct Call;
+  using CallPointer = std::shared_ptr<Call>;
+
+  const policy::RoutePart* ChoosePart(const policy::Route& route);
+  bool AdmitRoot(const CallPointer& call);
+  void Attempt(const CallPointer& call);
+  PeerPointer ChoosePeer(const Call& call);
+  void SendTo(const CallPointer& call, const PeerPointer& peer);
+  void OnFailedAttempt(const CallPointer& call,
+                       CallOutcome outcome,
+                       CallReason reason);
+  bool MayRepeat(Millis now, const Call& call);
+  void PassAnswer(const CallPointer& call, const AnswerFrame& frame);
+  void RefuseNotRun(const CallPointer& call, CallReason reason, Millis wait);
+  void FinishFailed(const CallPointer& call, CallReason reason);
+  void Finish(const CallPointer& call);
+  void DropAttempt(const CallPointer& call);
+  void Abandon(const CallPointer& call);
+  void TimeOut(const CallPointer& call);
+  control::RepeatRules Repeats() const;
+  double Draw();
+  Millis RetryAfter(const Call& call);
+
+  const RelaySettings& settings;
+  PeerTable& peers;
+  ServedCalls& served;
+  policy::RouteTablePointer table;
+  control::ChainAdmission admission;
+  std::unordered_map<std::string, control::RepeatAllowance> allowances;
+  /// Running sums of the weighted choice, by route.
+  std::unordered_map<std::uint32_t, std::vector<double>> part_sums;
+  std::unordered_map<std::uint32_t, CallPointer> calls;
+  std::set<std::pair<std::int64_t, std::uint32_t>> ends;
+  std::uint32_t last_id = 0;
+  std::mt19937 random;
+  EntryCounters counters;
+  LatencyRecorder added;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_ENTRY_CALLS_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -0,0 +1,215 @@
+#ifndef ALMONDLINK_RELAY_PEER_FRAMES_H_
+#define ALMONDLINK_RELAY_PEER_FRAMES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "almondlink/control/demand_meter.h"
+
+/// Messages on a link between two nodes.
+///
+/// A frame is its length (4 bytes), its type (1 byte) and its fields in order,
+/// numbers in big-endian, texts with their length before them. Calls and
+/// answers pass twice a request on every node; written straight into the link's
+/// buffer they cost a tenth of the generated CBOR trees (bench/frame_cost.cc).
+/// Fields are only added at the end, so an older node ignores what it does not
+/// know.
+namespace almondlink::relay {
+
+enum class FrameType : std::uint8_t {
+  kHello = 1,
+  kState = 2,
+  kPolicy = 3,
+  kCall = 4,
+  kAnswer = 5,
+  kData = 6,
+  kWindow = 7,
+  kCancel = 8,
+  kSeen = 9,
+};
+
+/// What a target tells of its life; later values are never taken back for the
+/// same instance.
+enum class InstanceState : std::uint8_t {
+  kNone = 0,
+  kReady = 1,
+  kDraining = 2,
+};
+
+/// What one node knows of an instance: kept by its peers over its restarts.
+struct InstanceRecord {
+  std::string node;
+  std::string instance;
+  std::uint64_t sequence = 0;
+  InstanceState state = InstanceState::kNone;
+};
+
+/// How other nodes reach a node.
+struct NodeAddress {
+  std::string name;
+  std::string address;
+  std::uint64_t incarnation = 0;
+};
+
+/// First frame of either side.
+struct HelloFrame {
+  NodeAddress self;
+  std::string zone;
+  std::string deployment;
+  /// Other nodes that the sender knows.
+  std::vector<NodeAddress> others;
+  /// What the sender remembers of the receiver's instances.
+  std::vector<InstanceRecord> remembered;
+};
+
+/// Share of a route's root requests that a node lets in.
+struct ShareEntry {
+  std::uint32_t route = 0;
+  double share = 1;
+};
+
+/// State of a node and of the target beside it.
+struct StateFrame {
+  std::uint64_t policy_version = 0;
+  bool is_stopping = false;
+  std::string service;
+  std::string zone;
+  std::string instance;
+  std::uint64_t sequence = 0;
+  InstanceState state = InstanceState::kNone;
+  std::uint32_t slots = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  double work_ms = 0;
+  std::vector<control::RouteDemand> demand;
+  std::vector<ShareEntry> shares;
+};
+
+/// One attempt of a request, to the node beside its target.
+struct CallFrame {
+  std::uint32_t id = 0;
+  /// The sender's clock, to tell a frame that was held up on the way.
+  std::uint64_t sent_ms = 0;
+  std::uint32_t left_ms = 0;
+  /// Longest time that it may wait for a slot.
+  std::uint32_t wait_ms = 0;
+  bool is_repeatable = false;
+  /// The request, or the run that made it, was sent to a target before.
+  bool is_repeat = false;
+  std::uint8_t depth = 0;
+  std::uint8_t priority = 0;
+  /// Route of the root request; 0 if unknown.
+  std::uint32_t root_route = 0;
+  std::string_view instance;
+  std::string_view caller_service;
+  std::string_view request_id;
+  std::string_view method;
+  std::string_view target;
+  std::string_view fields;
+  std::string_view body;
+};
+
+/// How an attempt ended at the target's node.
+enum class CallOutcome : std::uint8_t {
+  /// The target's own answer follows.
+  kAnswered = 0,
+  /// Not run: no byte of it reached the target.
+  kNotSent = 1,
+  /// Not run: the target itself said so.
+  kRefusedByTarget = 2,
+  /// It was sent and there is no proper answer.
+  kBroken = 3,
+};
+
+/// Why a call was not sent or broke; numbers are stable, they are in logs.
+enum class CallReason : std::uint8_t {
+  kNone = 0,
+  kDraining = 1,
+  kNoInstance = 2,
+  kOtherInstance = 3,
+  kFull = 4,
+  kConnectFailed = 5,
+  kDeadline = 6,
+  kClosed = 7,
+  kBadAnswer = 8,
+  kTimeout = 9,
+  kLinkLost = 10,
+  kLinkBusy = 11,
+};
+
+/// Name of a reason in logs and metrics.
+const char* ToString(CallReason reason);
+
+/// First part of an answer, or all of it.
+struct AnswerFrame {
+  std::uint32_t id = 0;
+  CallOutcome outcome = CallOutcome::kAnswered;
+  CallReason reason = CallReason::kNone;
+  /// More of the body follows in data frames.
+  bool has_more = false;
+  std::uint16_t status = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t work_us = 0;
+  std::string_view status_text;
+  std::string_view fields;
+  std::string_view body;
+};
+
+/// A further part of an answer's body.
+struct DataFrame {
+  std::uint32_t id = 0;
+  /// The last part; with `is_broken` the answer ended before its end.
+  bool is_last = false;
+  bool is_broken = false;
+  std::string_view body;
+};
+
+/// The receiver passed on that many bytes of the answer.
+struct WindowFrame {
+  std::uint32_t id = 0;
+  std::uint32_t bytes = 0;
+};
+
+/// One frame as it lies in a link's input.
+struct RawFrame {
+  FrameType type = FrameType::kHello;
+  std::string_view payload;
+  /// Bytes of the frame with its head.
+  std::size_t size = 0;
+};
+
+/// Largest frame; a longer one means that the peer speaks something else.
+constexpr std::size_t kMaxFrame = 80 * 1024 * 1024;
+
+/// The first frame of `input`: none while it is incomplete. `is_bad` is set if
+/// it cannot be one.
+std::optional<RawFrame> NextFrame(std::string_view input, bool& is_bad);
+
+void Append(const HelloFrame& frame, std::string& out);
+void Append(const StateFrame& frame, std::string& out);
+void Append(const CallFrame& frame, std::string& out);
+void Append(const AnswerFrame& frame, std::string& out);
+void Append(const DataFrame& frame, std::string& out);
+void Append(const WindowFrame& frame, std::string& out);
+void AppendPolicy(std::string_view policy, std::string& out);
+void AppendCancel(std::uint32_t id, std::string& out);
+/// The receiver keeps the state with that sequence number in mind.
+void AppendSeen(std::uint64_t sequence, std::string& out);
+
+/// Decoders; false if the payload is too short. Views point into the payload.
+bool Decode(std::string_view payload, HelloFrame& frame);
+bool Decode(std::string_view payload, StateFrame& frame);
+bool Decode(std::string_view payload, CallFrame& frame);
+bool Decode(std::string_view payload, AnswerFrame& frame);
+bool Decode(std::string_view payload, DataFrame& frame);
+bool Decode(std::string_view payload, WindowFrame& frame);
+bool DecodeCancel(std::string_view payload, std::uint32_t& id);
+bool DecodeSeen(std::string_view payload, std::uint64_t& sequence);
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_PEER_FRAMES_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/peer_link.h
@@ -0,0 +1,70 @@
+#ifndef ALMONDLINK_RELAY_PEER_LINK_H_
+#define ALMONDLINK_RELAY_PEER_LINK_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "almondlink/base/clock.h"
+#include "almondlink/relay/peer_frames.h"
+
+/// A TCP connection to another node.
+///
+/// Frames that are written within one turn of the loop leave with one system
+/// call. A link that does not drain is closed when too much waits on it.
+namespace almondlink::relay {
+
+class PeerLink;
+using PeerLinkPointer = std::shared_ptr<PeerLink>;
+
+struct LinkEvents {
+  std::function<void(const PeerLinkPointer&, const RawFrame&)> on_frame;
+  /// Called once, from the loop; never after Close().
+  std::function<void(const PeerLinkPointer&)> on_closed;
+};
+
+/// Not thread safe: belongs to one loop.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+ public:
+  PeerLink(boost::asio::ip::tcp::socket socket,
+           std::uint64_t id,
+           LinkEvents events);
+
+  /// Starts to read. Precondition: the socket is connected.
+  void Start();
+
+  /// Buffer to append frames to; call FlushSoon() after.
+  std::string& Out() { return this->output; }
+  void FlushSoon();
+
+  /// Closes without an event.
+  void Close();
+
+  bool IsOpen() const { return this->socket.is_open(); }
+  std::uint64_t Id() const { return this->id; }
+  Millis LastReceived() const { return this->last_received; }
+  std::size_t Waiting() const { return this->output.size(); }
+
+ private:
+  void Read();
+  void Flush();
+  void Fail();
+
+  boost::asio::ip::tcp::socket socket;
+  const std::uint64_t id;
+  LinkEvents events;
+  std::array<char, 16384> buffer;
+  std::string input;
+  std::string output;
+  std::size_t written = 0;
+  bool is_flush_posted = false;
+  bool is_write_waiting = false;
+  Millis last_received;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_PEER_LINK_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -0,0 +1,154 @@
+#ifndef ALMONDLINK_RELAY_PEER_TABLE_H_
+#define ALMONDLINK_RELAY_PEER_TABLE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "almondlink/base/clock.h"
+#include "almondlink/base/error.h"
+#include "almondlink/control/target_health.h"
+#include "almondlink/relay/peer_frames.h"
+#include "almondlink/relay/peer_link.h"
+#include "almondlink/relay/relay_settings.h"
+#include "almondlink/relay/served_calls.h"
+
+/// The other nodes: who they are, the links to them, and what they told.
+///
+/// Every node dials every other one and sends its calls on the link it dialled.
+/// On a link that it accepted a node tells its state: at once when something
+/// changed that callers must know, a few times a second while it works, and
+/// once a second otherwise, so that a silent link is noticed. Addresses come
+/// from outside (a directory), from peers that dial, and from their lists.
+namespace almondlink::relay {
+
+/// One node, this one included.
+struct Peer {
+  NodeAddress node;
+  bool is_self = false;
+  /// The link this node dialled; null while there is none.
+  PeerLinkPointer link;
+  bool is_greeted = false;
+  /// The last state told, and when.
+  StateFrame told;
+  Millis told_at;
+  /// Calls sent since the target's load was told.
+  std::uint32_t sent_since = 0;
+  control::TargetHealth health;
+  bool is_dialling = false;
+  Millis next_dial;
+  Millis dial_wait;
+  /// Since when no link could be had.
+  Millis lost_at;
+  Millis policy_sent;
+
+  /// Whether calls can be sent to it now.
+  bool IsReachable() const {
+    return this->is_self ||
+           (this->link != nullptr && this->is_greeted && this->link->IsOpen());
+  }
+};
+
+using PeerPointer = std::shared_ptr<Peer>;
+
+struct PeerEvents {
+  /// An answer or a part of one, on a dialled link.
+  std::function<void(const PeerPointer&, const RawFrame&)> on_answer;
+  /// A call, cancel or window frame on an accepted link.
+  std::function<void(const PeerLinkPointer&, const RawFrame&)> on_call;
+  std::function<void(LinkId)> on_accepted_closed;
+  std::function<void(const PeerPointer&)> on_lost;
+  /// A state was told; `is_first`: the first on this link.
+  std::function<void(const PeerPointer&, bool is_first)> on_state;
+  std::function<void(std::string policy)> on_policy;
+  /// A peer remembers one of this node's instances.
+  std::function<void(const InstanceRecord&)> on_remembered;
+  /// A peer confirmed the state with that sequence number.
+  std::function<void(std::uint64_t sequence)> on_seen;
+  /// The state to tell now.
+  std::function<StateFrame()> make_state;
+  /// The policy in force as it is passed between nodes; empty if none.
+  std::function<const std::string&()> policy_text;
+};
+
+/// Not thread safe: belongs to one loop.
+class PeerTable {
+ public:
+  PeerTable(boost::asio::io_context& loop,
+            const RelaySettings& settings,
+            std::uint64_t incarnation,
+            PeerEvents events);
+  ~PeerTable();
+  PeerTable(const PeerTable&) = delete;
+  PeerTable& operator=(const PeerTable&) = delete;
+
+  /// Accepts links. Errors: kIo.
+  Result<void> Listen();
+
+  /// Makes a node known. A later incarnation replaces an earlier one.
+  void Learn(const NodeAddress& node);
+
+  /// Tells the state on all accepted links now.
+  void TellNow();
+
+  /// Dials, tells and notices silent links; call every 100 ms.
+  void Tick(Millis now);
+
+  /// This node, in the form in which others know it.
+  NodeAddress Self() const { return this->self->node; }
+  const PeerPointer& SelfPeer() const { return this->self; }
+  const std::vector<PeerPointer>& All() const { return this->peers; }
+  /// The nodes beside targets of `service`, this one included.
+  const std::vector<PeerPointer>& Of(const std::string& service);
+  /// Nodes that were reachable lately, this one included.
+  std::uint32_t CountLive() const;
+
+  /// Buffer of an accepted link, or null if it is closed.
+  PeerLinkPointer Accepted(LinkId link) const;
+
+  void Close();
+
+ private:
+  struct AcceptedLink {
+    PeerLinkPointer link;
+    std::string node;
+  };
+
+  void Accept();
+  void Dial(Millis now, const PeerPointer& peer);
+  void Adopt(const PeerPointer& peer, boost::asio::ip::tcp::socket socket);
+  void OnDialledFrame(const PeerPointer& peer, const RawFrame& frame);
+  void OnAcceptedFrame(const PeerLinkPointer& link, const RawFrame& frame);
+  void OnHello(const HelloFrame& hello);
+  void OnState(const PeerPointer& peer, std::string_view payload);
+  void LoseLink(const PeerPointer& peer);
+  void SendHello(PeerLink& link, const std::string& to);
+  void PassPolicy(Millis now, const PeerPointer& peer);
+  void ForgetLost(Millis now);
+
+  boost::asio::io_context& loop;
+  const RelaySettings& settings;
+  PeerEvents events;
+  boost::asio::ip::tcp::acceptor acceptor;
+  PeerPointer self;
+  std::vector<PeerPointer> peers;
+  std::map<LinkId, AcceptedLink> accepted;
+  std::unordered_map<std::string, std::vector<PeerPointer>> by_service;
+  /// Instances of other nodes that were told to leave, by node.
+  std::map<std::string, std::map<std::string, InstanceRecord>> remembered;
+  std::uint64_t next_link = 1;
+  Millis last_told;
+  Millis last_tick;
+  Millis patient_until;
+  bool is_closed = false;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_PEER_TABLE_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -0,0 +1,123 @@
+#ifndef ALMONDLINK_RELAY_RELAY_NODE_H_
+#define ALMONDLINK_RELAY_RELAY_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "almondlink/base/error.h"
+#include "almondlink/control/instance_ledger.h"
+#include "almondlink/policy/route_table.h"
+#include "almondlink/relay/caller_port.h"
+#include "almondlink/relay/entry_calls.h"
+#include "almondlink/relay/peer_table.h"
+#include "almondlink/relay/relay_settings.h"
+#include "almondlink/relay/served_calls.h"
+
+/// One node as a relay: callers on its host, the target beside it, and the
+/// other nodes. An adapter feeds it the policy, the reports of the target and
+/// the addresses of other nodes, and asks it whether it is ready.
+namespace almondlink::relay {
+
+/// What the adapter does for the node.
+struct RelayHooks {
+  /// Turns a policy as it is passed between nodes into a table; null if it is
+  /// none.
+  std::function<policy::RouteTablePointer(const std::string& text)> parse;
+  /// The node has nothing left to do after Stop().
+  std::function<void()> on_stopped;
+};
+
+/// Not thread safe: belongs to one loop.
+class RelayNode {
+ public:
+  RelayNode(boost::asio::io_context& loop,
+            RelaySettings settings,
+            RelayHooks hooks);
+  ~RelayNode();
+  RelayNode(const RelayNode&) = delete;
+  RelayNode& operator=(const RelayNode&) = delete;
+
+  /// Opens the addresses. Errors: kIo.
+  Result<void> Start();
+
+  /// Takes a policy if it is newer than the one in force. `text`: the form that
+  /// is passed to other nodes. `source` is for the log.
+  void TakePolicy(policy::RouteTablePointer table,
+                  const std::string& text,
+                  const char* source);
+
+  /// A report of the instance; `acknowledge` is called once the report can be
+  /// acknowledged: a leave is first made known to another node, so that a
+  /// restart of this one does not forget it.
+  void OnReport(const control::InstanceReport& report,
+                std::function<void()> acknowledge);
+  void OnLeave(const std::string& id, std::function<void()> acknowledge);
+
+  /// Makes another node known.
+  void Learn(const NodeAddress& node) { this->peers.Learn(node); }
+  NodeAddress Self() const { return this->peers.Self(); }
+
+  /// Whether callers may be sent here.
+  bool IsReady() const;
+
+  /// Takes over what may change while the node runs: the service and the
+  /// target's address. Nothing in flight is touched.
+  void Reload(const RelaySettings& changed);
+
+  /// Starts a graceful stop; `on_stopped` follows within the grace time.
+  void Stop();
+
+  /// Version of the policy in force; 0 if none.
+  std::uint64_t PolicyVersion() const;
+
+  /// Counters and latencies in the text exposition format.
+  std::string Metrics() const;
+
+ private:
+  struct PendingAck {
+    std::uint64_t sequence = 0;
+    Millis until;
+    std::function<void()> acknowledge;
+  };
+
+  PeerEvents PeerHooks();
+  ServedEvents ServedHooks();
+  StateFrame MakeState() const;
+  void OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
+  void OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
+  void OnState(const PeerPointer& peer);
+  void AcknowledgeLeave(std::function<void()> acknowledge);
+  void RunAcks(Millis now, std::uint64_t seen);
+  void LogInstance() const;
+  void ScheduleTick();
+  void Tick();
+  void ContinueStop(Millis now);
+
+  boost::asio::io_context& loop;
+  RelaySettings settings;
+  RelayHooks hooks;
+  ServedCalls served;
+  PeerTable peers;
+  EntryCalls entry;
+  CallerPort callers;
+  boost::asio::steady_timer tick_timer;
+  std::string policy_text;
+  std::vector<PendingAck> pending_acks;
+  /// Least difference between the clocks of a link's ends, to tell frames that
+  /// were held up.
+  std::map<LinkId, std::int64_t> clock_offsets;
+  std::uint32_t ticks = 0;
+  Millis stop_started;
+  bool is_stopping = false;
+  bool is_leaving_told = false;
+  bool is_stopped = false;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_RELAY_NODE_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -0,0 +1,143 @@
+#ifndef ALMONDLINK_RELAY_SERVED_CALLS_H_
+#define ALMONDLINK_RELAY_SERVED_CALLS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+#include "almondlink/control/demand_meter.h"
+#include "almondlink/control/instance_ledger.h"
+#include "almondlink/relay/peer_frames.h"
+#include "almondlink/relay/target_pool.h"
+
+/// Calls for the target beside this node: who runs, who waits, who is sent
+/// back.
+///
+/// This node sees all traffic of its target, so it holds the target's
+/// concurrency exactly. What does not fit waits in one order: by the priority
+/// of the root request, then deeper calls first (more was spent on them), then
+/// by arrival.
+namespace almondlink::relay {
+
+/// Where an answer goes: the link that the call came by, or 0 for this node.
+using LinkId = std::uint64_t;
+constexpr LinkId kOwnNode = 0;
+
+/// What is known of a running request, for the calls that it makes.
+struct RunInfo {
+  std::uint32_t root_route = 0;
+  std::uint8_t priority = 0;
+  std::uint8_t depth = 0;
+  bool is_repeat = false;
+  Millis deadline;
+};
+
+struct ServedEvents {
+  std::function<void(LinkId, const AnswerFrame&)> on_answer;
+  std::function<void(LinkId, const DataFrame&)> on_part;
+  /// A call ended without having run, or broke; for the log.
+  std::function<void(const std::string& request_id,
+                     CallReason reason,
+                     bool was_sent,
+                     Millis waited)>
+      on_failed;
+};
+
+/// Counters for metrics; all only grow.
+struct ServedCounters {
+  std::uint64_t calls = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused_by_target = 0;
+  std::uint64_t not_sent = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t cancelled = 0;
+};
+
+/// Not thread safe: belongs to one loop.
+class ServedCalls {
+ public:
+  /// `names` must outlive it. `drain`: time after which a leaving instance must
+  /// get nothing more.
+  ServedCalls(boost::asio::io_context& loop,
+              const HeaderNames& names,
+              Millis drain,
+              ServedEvents events);
+  ~ServedCalls();
+  ServedCalls(const ServedCalls&) = delete;
+  ServedCalls& operator=(const ServedCalls&) = delete;
+
+  void SetTargetAddress(const boost::asio::ip::tcp::endpoint& address);
+
+  /// Takes a call; exactly one answer follows unless it is cancelled. `held`:
+  /// time that the frame was held up on its way.
+  void OnCall(LinkId link, const CallFrame& frame, Millis held);
+  void OnCancel(LinkId link, std::uint32_t id);
+  void OnWindow(LinkId link, std::uint32_t id, std::uint32_t bytes);
+  void OnLinkClosed(LinkId link);
+
+  /// Reports of the instance; see control/instance_ledger.h.
+  control::ReportEffect OnReport(const control::InstanceReport& report);
+  control::ReportEffect OnLeave(const std::string& id);
+  control::ReportEffect Remember(const std::string& id);
+
+  /// The run of the target that `request_id` belongs to, if it is running.
+  std::optional<RunInfo> FindRun(const std::string& request_id) const;
+
+  /// Time-outs and the meter; call every few tens of milliseconds.
+  void Sweep(Millis now);
+
+  const control::InstanceLedger& Ledger() const { return this->ledger; }
+  const control::DemandMeter& Meter() const { return this->meter; }
+  const ServedCounters& Counters() const { return this->counters; }
+  std::uint32_t Running() const;
+  std::uint32_t Waiting() const;
+  std::uint64_t Connects() const { return this->pool.Connects(); }
+
+ private:
+  struct Call;
+  using CallKey = std::pair<LinkId, std::uint32_t>;
+  using CallPointer = std::shared_ptr<Call>;
+  /// Priority, then depth (deeper first), then arrival.
+  using Order = std::tuple<std::uint8_t, int, std::uint64_t>;
+
+  void Fill(Millis now);
+  void Dispatch(Millis now, const CallPointer& call);
+  void OnAnswer(const CallPointer& call,
+                const AnswerHead& head,
+                const std::string& body,
+                bool has_more);
+  void OnPart(const CallPointer& call,
+              const std::string& part,
+              bool is_last,
+              bool is_broken);
+  void EndRun(const CallPointer& call);
+  void Reject(const CallPointer& call, CallReason reason);
+  void SendOutcome(const CallPointer& call,
+                   CallOutcome outcome,
+                   CallReason reason);
+  CallReason WhyNotServed(Millis now, const CallFrame& frame) const;
+  bool IsPastDrain(Millis now) const;
+
+  const HeaderNames& names;
+  Millis drain;
+  ServedEvents events;
+  TargetPool pool;
+  control::InstanceLedger ledger;
+  control::DemandMeter meter;
+  ServedCounters counters;
+  std::map<CallKey, CallPointer> calls;
+  std::map<Order, CallPointer> queue;
+  std::unordered_map<std::string, CallPointer> runs;
+  std::uint64_t arrivals = 0;
+  std::uint32_t running = 0;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SERVED_CALLS_H_
--- /dev/null
+++ b/libs/relay/include/almondlink/relay/socket_options.h
@@ -0,0 +1,18 @@
+#ifndef ALMONDLINK_RELAY_SOCKET_OPTIONS_H_
+#define ALMONDLINK_RELAY_SOCKET_OPTIONS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "almondlink/base/clock.h"
+
+namespace almondlink::relay {
+
+/// Sends at once, never blocks, and lets the kernel give a connection up whose
+/// bytes are not acknowledged within `silence`: open connections can lose their
+/// other end without a reset. Errors are ignored: a closed socket fails at its
+/// next use.
+void PrepareSocket(boost::asio::ip::tcp::socket& socket, Millis silence);
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SOCKET_OPTIONS_H_
--- /dev/null
+++ b/libs/relay/src/caller_session.cc
@@ -0,0 +1,296 @@
+#include "caller_session.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "almondlink/relay/socket_options.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+/// A caller that acknowledges nothing for so long is gone.
+constexpr Millis kSilence{10'000};
+/// Bytes that a caller may send ahead while its request is in work.
+constexpr std::size_t kMostAhead = 64 * 1024;
+/// Our own time-out on idle connections lies above the stated one, so that a
+/// caller never sends on a connection that is just being closed.
+constexpr std::int64_t kIdleFactorTenths = 13;
+constexpr std::uint32_t kNoContent = 204;
+constexpr std::uint32_t kNotModified = 304;
+constexpr std::uint32_t kTooLarge = 413;
+constexpr std::uint32_t kFieldsTooLarge = 431;
+constexpr std::uint32_t kBadRequest = 400;
+
+bool HasNoBody(std::uint32_t status) {
+  return status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(std::shared_ptr<CallerPort::State> port_in,
+                             boost::asio::ip::tcp::socket socket_in)
+    : port(std::move(port_in)),
+      socket(std::move(socket_in)),
+      last_active(BootTimeNow()) {}
+
+void CallerSession::Start() {
+  PrepareSocket(this->socket, kSilence);
+  this->Read();
+}
+
+void CallerSession::Close() {
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->port->sessions.erase(this->shared_from_this());
+}
+
+void CallerSession::CloseIfIdle() {
+  if (!this->IsBusy() && this->output.empty() && !this->has_started) {
+    this->Close();
+  }
+}
+
+void CallerSession::Sweep(Millis now) {
+  if (this->IsBusy()) {
+    return;
+  }
+  const Millis idle = now - this->last_active;
+  const Millis allowed{this->port->limits.idle_timeout.count *
+                       kIdleFactorTenths / 10};
+  if (idle > allowed ||
+      (this->has_started && idle > this->port->limits.header_timeout * 2)) {
+    this->Close();
+  }
+}
+
+void CallerSession::Read() {
+  if (this->is_reading || !this->socket.is_open() ||
+      (this->IsBusy() && this->input.size() > kMostAhead)) {
+    return;
+  }
+  this->is_reading = true;
+  this->socket.async_read_some(
+      boost::asio::buffer(this->buffer),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t size) {
+        self->is_reading = false;
+        self->OnRead(error, size);
+      });
+}
+
+void CallerSession::OnRead(const boost::system::error_code& error,
+                           std::size_t size) {
+  if (!this->socket.is_open()) {
+    return;
+  }
+  if (error) {
+    this->Gone();
+    return;
+  }
+  this->input.append(this->buffer.data(), size);
+  if (!this->IsBusy() && this->output.empty()) {
+    this->last_active = BootTimeNow();
+    this->Parse();
+  }
+  this->Read();
+}
+
+void CallerSession::Parse() {
+  if (this->input.empty()) {
+    return;
+  }
+  if (!this->parser.has_value()) {
+    this->parser.emplace(this->port->names);
+    this->was_continue_sent = false;
+  }
+  this->has_started = true;
+  const ParseStep step = this->parser->Feed(this->input);
+  if (step == ParseStep::kBad) {
+    this->Refuse(kBadRequest, "Bad Request");
+    return;
+  }
+  const bool is_head_done = this->parser->is_header_done();
+  if (!is_head_done && this->input.size() > this->port->limits.max_header) {
+    this->Refuse(kFieldsTooLarge, "Request Header Fields Too Large");
+    return;
+  }
+  if (this->parser->body.size() > this->port->limits.max_body) {
+    this->Refuse(kTooLarge, "Content Too Large");
+    return;
+  }
+  if (step == ParseStep::kNeedMore) {
+    if (is_head_done && this->parser->head.expects_continue &&
+        !this->was_continue_sent) {
+      this->was_continue_sent = true;
+      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+      this->Write();
+    }
+    return;
+  }
+  RequestHead head = std::move(this->parser->head);
+  std::string body = std::move(this->parser->body);
+  this->parser.reset();
+  this->has_started = false;
+  this->is_head_method = head.method == "HEAD";
+  this->is_last = this->is_last || !head.is_keep_alive;
+  this->exchange = std::make_shared<CallerExchange>(this->weak_from_this());
+  this->port->handler(std::move(head), std::move(body), this->exchange);
+}
+
+void CallerSession::Refuse(std::uint32_t status, std::string_view text) {
+  this->is_last = true;
+  this->exchange = std::make_shared<CallerExchange>(this->weak_from_this());
+  this->WriteAnswer(status, text, "", "");
+}
+
+void CallerSession::WriteHead(std::uint32_t status,
+                              std::string_view status_text,
+                              std::string_view fields) {
+  this->is_last = this->is_last || this->port->is_closing;
+  this->output += "HTTP/1.1 ";
+  this->output += std::to_string(status);
+  this->output += ' ';
+  this->output += status_text;
+  this->output += "\r\n";
+  this->output += fields;
+  if (this->is_last) {
+    this->output += "Connection: close\r\n";
+  }
+}
+
+void CallerSession::WriteAnswer(std::uint32_t status,
+                                std::string_view status_text,
+                                std::string_view fields,
+                                std::string_view body) {
+  this->WriteHead(status, status_text, fields);
+  if (HasNoBody(status)) {
+    this->output += "\r\n";
+  } else {
+    this->output += "Content-Length: ";
+    this->output += std::to_string(body.size());
+    this->output += "\r\n\r\n";
+    if (!this->is_head_method) {
+      this->output += body;
+    }
+  }
+  this->is_ending = true;
+  this->Write();
+}
+
+void CallerSession::BeginLong(std::uint32_t status,
+                              std::string_view status_text,
+                              std::string_view fields,
+                              std::string_view first_part) {
+  this->is_long = true;
+  this->WriteHead(status, status_text, fields);
+  this->output += "Transfer-Encoding: chunked\r\n\r\n";
+  this->Part(first_part);
+}
+
+void CallerSession::Part(std::string_view body) {
+  if (body.empty()) {
+    return;
+  }
+  std::array<char, 20> size{};
+  const int length =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+  this->output.append(size.data(), static_cast<std::size_t>(length));
+  this->output += body;
+  this->output += "\r\n";
+  this->long_pending += body.size();
+  this->Write();
+}
+
+void CallerSession::EndLong(bool is_broken) {
+  if (is_broken) {
+    this->exchange.reset();
+    this->Close();
+    return;
+  }
+  this->output += "0\r\n\r\n";
+  this->is_ending = true;
+  this->Write();
+}
+
+void CallerSession::Write() {
+  if (this->is_write_waiting) {
+    return;
+  }
+  while (this->socket.is_open() && this->written < this->output.size()) {
+    boost::system::error_code error;
+    this->written += this->socket.write_some(
+        boost::asio::buffer(this->output.data() + this->written,
+                            this->output.size() - this->written),
+        error);
+    if (error == boost::asio::error::would_block) {
+      this->is_write_waiting = true;
+      this->socket.async_wait(
+          boost::asio::ip::tcp::socket::wait_write,
+          [self = this->shared_from_this()](boost::system::error_code failed) {
+            self->is_write_waiting = false;
+            if (!failed) {
+              self->Write();
+            }
+          });
+      return;
+    }
+    if (error) {
+      this->Gone();
+      return;
+    }
+  }
+  this->OnWritten();
+}
+
+void CallerSession::OnWritten() {
+  std::string().swap(this->output);
+  this->written = 0;
+  if (this->is_long && this->long_pending > 0 && this->exchange != nullptr &&
+      this->exchange->on_taken) {
+    const std::size_t taken = this->long_pending;
+    this->long_pending = 0;
+    this->exchange->on_taken(taken);
+  }
+  if (this->is_ending) {
+    this->FinishExchange();
+  }
+}
+
+void CallerSession::FinishExchange() {
+  this->is_ending = false;
+  this->is_long = false;
+  this->long_pending = 0;
+  this->exchange.reset();
+  this->last_active = BootTimeNow();
+  if (this->is_last) {
+    // Closing with unread bytes would reset the answer away.
+    boost::system::error_code ignored;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (this->input.empty()) {
+      this->Close();
+    }
+    return;
+  }
+  if (!this->input.empty()) {
+    boost::asio::post(this->port->loop, [self = this->shared_from_this()]() {
+      if (self->socket.is_open() && !self->IsBusy()) {
+        self->Parse();
+        self->Read();
+      }
+    });
+  }
+}
+
+void CallerSession::Gone() {
+  const CallerExchangePointer left = std::move(this->exchange);
+  this->exchange.reset();
+  this->Close();
+  if (left != nullptr && left->on_gone) {
+    const std::function<void()> on_gone = std::move(left->on_gone);
+    on_gone();
+  }
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/caller_session.h
@@ -0,0 +1,92 @@
+#ifndef ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
+#define ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "almondlink/relay/caller_port.h"
+
+namespace almondlink::relay {
+
+/// One connection of a caller.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(std::shared_ptr<CallerPort::State> port,
+                boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  void Close();
+  /// Closes if nothing is in work.
+  void CloseIfIdle();
+  void Sweep(Millis now);
+  bool IsBusy() const { return this->exchange != nullptr; }
+
+  // Called through the exchange.
+  void WriteAnswer(std::uint32_t status,
+                   std::string_view status_text,
+                   std::string_view fields,
+                   std::string_view body);
+  void BeginLong(std::uint32_t status,
+                 std::string_view status_text,
+                 std::string_view fields,
+                 std::string_view first_part);
+  void Part(std::string_view body);
+  void EndLong(bool is_broken);
+  void CloseAfter() { this->is_last = true; }
+
+ private:
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void Parse();
+  void Refuse(std::uint32_t status, std::string_view text);
+  void WriteHead(std::uint32_t status,
+                 std::string_view status_text,
+                 std::string_view fields);
+  void Write();
+  void OnWritten();
+  void FinishExchange();
+  void Gone();
+
+  std::shared_ptr<CallerPort::State> port;
+  boost::asio::ip::tcp::socket socket;
+  std::array<char, 2048> buffer;
+  std::string input;
+  std::optional<RequestParser> parser;
+  CallerExchangePointer exchange;
+  std::string output;
+  std::size_t written = 0;
+  std::size_t long_pending = 0;
+  Millis last_active;
+  bool is_reading = false;
+  bool is_write_waiting = false;
+  bool is_last = false;
+  bool is_head_method = false;
+  bool is_long = false;
+  bool is_ending = false;
+  bool has_started = false;
+  bool was_continue_sent = false;
+};
+
+struct CallerPort::State {
+  State(boost::asio::io_context& loop_in,
+        const HeaderNames& names_in,
+        RequestHandler handler_in)
+      : loop(loop_in),
+        names(names_in),
+        handler(std::move(handler_in)),
+        acceptor(loop_in) {}
+  boost::asio::io_context& loop;
+  const HeaderNames& names;
+  RequestHandler handler;
+  boost::asio::ip::tcp::acceptor acceptor;
+  policy::CallerLimits limits;
+  std::unordered_set<std::shared_ptr<CallerSession>> sessions;
+  bool is_closing = false;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
--- /dev/null
+++ b/libs/relay/src/relay_node.cc
@@ -0,0 +1,428 @@
+#include "almondlink/relay/relay_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/base/metrics.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+/// Time-outs are looked for this often; the shortest that matters is ten times
+/// as long.
+constexpr std::chrono::milliseconds kTick{50};
+/// Ticks between two looks at peers and admission, and at idle connections.
+constexpr std::uint32_t kPeerTicks = 2;
+constexpr std::uint32_t kIdleTicks = 10;
+/// Longest wait for another node to confirm that it knows of a leave.
+constexpr Millis kConfirmWait{300};
+/// After the stop signal callers still arrive until two of their once-a-second
+/// checks have failed; the target goes on serving for most of that time.
+constexpr Millis kCallersLeave{2600};
+constexpr Millis kTargetServes{1800};
+/// Time before the end that is forced in which open calls get an answer.
+constexpr Millis kLastAnswers{400};
+
+}  // namespace
+
+RelayNode::RelayNode(boost::asio::io_context& loop_in,
+                     RelaySettings settings_in,
+                     RelayHooks hooks_in)
+    : loop(loop_in),
+      settings(std::move(settings_in)),
+      hooks(std::move(hooks_in)),
+      served(loop_in,
+             this->settings.names,
+             this->settings.drain,
+             this->ServedHooks()),
+      peers(loop_in,
+            this->settings,
+            static_cast<std::uint64_t>(WallNow().count),
+            this->PeerHooks()),
+      entry(this->settings, this->peers, this->served),
+      callers(loop_in,
+              this->settings.names,
+              [this](RequestHead head,
+                     std::string body,
+                     const CallerExchangePointer& exchange) {
+                this->entry.OnRequest(std::move(head), std::move(body),
+                                      exchange);
+              }),
+      tick_timer(loop_in) {
+  this->served.SetTargetAddress(this->settings.target_address);
+}
+
+RelayNode::~RelayNode() = default;
+
+PeerEvents RelayNode::PeerHooks() {
+  PeerEvents events;
+  events.on_answer = [this](const PeerPointer& peer, const RawFrame& frame) {
+    this->OnAnswerFrame(peer, frame);
+  };
+  events.on_call = [this](const PeerLinkPointer& link, const RawFrame& frame) {
+    this->OnCallFrame(link, frame);
+  };
+  events.on_accepted_closed = [this](LinkId link) {
+    this->clock_offsets.erase(link);
+    this->served.OnLinkClosed(link);
+  };
+  events.on_lost = [this](const PeerPointer& peer) {
+    this->entry.OnLinkLost(peer);
+  };
+  events.on_state = [this](const PeerPointer& peer, bool is_first) {
+    if (is_first) {
+      this->OnState(peer);
+    }
+  };
+  events.on_policy = [this](const std::string& text) {
+    this->TakePolicy(this->hooks.parse(text), text, "peer");
+  };
+  events.on_remembered = [this](const InstanceRecord& record) {
+    if (record.state == InstanceState::kDraining &&
+        this->served.Remember(record.instance) ==
+            control::ReportEffect::kChanged) {
+      this->LogInstance();
+      this->peers.TellNow();
+    }
+  };
+  events.on_seen = [this](std::uint64_t sequence) {
+    this->RunAcks(BootTimeNow(), sequence);
+  };
+  events.make_state = [this]() { return this->MakeState(); };
+  events.policy_text = [this]() -> const std::string& {
+    return this->policy_text;
+  };
+  return events;
+}
+
+ServedEvents RelayNode::ServedHooks() {
+  ServedEvents events;
+  events.on_answer = [this](LinkId link, const AnswerFrame& frame) {
+    if (link == kOwnNode) {
+      this->entry.OnAnswer(this->peers.SelfPeer(), frame);
+      return;
+    }
+    if (const PeerLinkPointer open = this->peers.Accepted(link)) {
+      Append(frame, open->Out());
+      open->FlushSoon();
+    }
+  };
+  events.on_part = [this](LinkId link, const DataFrame& frame) {
+    if (link == kOwnNode) {
+      this->entry.OnPart(this->peers.SelfPeer(), frame);
+      return;
+    }
+    if (const PeerLinkPointer open = this->peers.Accepted(link)) {
+      Append(frame, open->Out());
+      open->FlushSoon();
+    }
+  };
+  events.on_failed = [this](const std::string& request_id, CallReason reason,
+                            bool was_sent, Millis waited) {
+    LogEvent(kEventTargetCallFailed,
+             {{"request", request_id},
+              {"reason", ToString(reason)},
+              {"sent", was_sent ? "yes" : "no"},
+              {"after_ms", std::to_string(waited.count)},
+              {"running", std::to_string(this->served.Running())},
+              {"waiting", std::to_string(this->served.Waiting())}});
+  };
+  return events;
+}
+
+Result<void> RelayNode::Start() {
+  BOOST_LEAF_CHECK(this->callers.Listen(this->settings.caller_address));
+  BOOST_LEAF_CHECK(this->peers.Listen());
+  this->peers.TellNow();
+  this->ScheduleTick();
+  return {};
+}
+
+StateFrame RelayNode::MakeState() const {
+  StateFrame state;
+  const control::InstanceLedger& ledger = this->served.Ledger();
+  state.policy_version = this->PolicyVersion();
+  state.is_stopping = this->is_leaving_told;
+  state.zone = this->settings.zone.Value();
+  state.service = ledger.current.service;
+  state.instance = ledger.current.id;
+  state.sequence = ledger.current.sequence;
+  switch (ledger.phase) {
+    case control::InstancePhase::kNone:
+      state.state = InstanceState::kNone;
+      break;
+    case control::InstancePhase::kReady:
+      state.state = InstanceState::kReady;
+      break;
+    case control::InstancePhase::kLeaving:
+      state.state = InstanceState::kDraining;
+      break;
+  }
+  state.slots = control::UsableSlots(ledger);
+  state.running = this->served.Running();
+  state.waiting = this->served.Waiting();
+  state.work_ms = control::MeanWorkMs(this->served.Meter());
+  state.demand = control::DemandOf(this->served.Meter());
+  for (const auto& [route, share] : this->entry.Admission().routes) {
+    if (share.share < 1) {
+      state.shares.push_back({route, share.share});
+    }
+  }
+  return state;
+}
+
+void RelayNode::TakePolicy(policy::RouteTablePointer table,
+                           const std::string& text,
+                           const char* source) {
+  if (table == nullptr || table->version <= this->PolicyVersion()) {
+    return;
+  }
+  LogEvent(kEventPolicyTaken,
+           {{"version", std::to_string(table->version)},
+            {"before", std::to_string(this->PolicyVersion())},
+            {"routes", std::to_string(table->routes.size())},
+            {"source", source}});
+  this->callers.SetLimits(table->limits);
+  this->entry.SetTable(std::move(table));
+  this->policy_text = text;
+  this->peers.TellNow();
+}
+
+std::uint64_t RelayNode::PolicyVersion() const {
+  return this->entry.Table() == nullptr ? 0 : this->entry.Table()->version;
+}
+
+bool RelayNode::IsReady() const {
+  return !this->is_stopping && this->entry.Table() != nullptr;
+}
+
+void RelayNode::LogInstance() const {
+  const control::InstanceLedger& ledger = this->served.Ledger();
+  LogEvent(kEventInstance,
+           {{"instance", ledger.current.id},
+            {"service", ledger.current.service},
+            {"state", ledger.phase == control::InstancePhase::kReady
+                          ? "ready"
+                          : "leaving"},
+            {"capacity", std::to_string(ledger.current.capacity)},
+            {"sequence", std::to_string(ledger.current.sequence)}});
+}
+
+void RelayNode::OnReport(const control::InstanceReport& report,
+                         std::function<void()> acknowledge) {
+  const control::ReportEffect effect = this->served.OnReport(report);
+  if (effect == control::ReportEffect::kChanged) {
+    this->LogInstance();
+    this->peers.TellNow();
+  }
+  if (report.is_leaving) {
+    this->AcknowledgeLeave(std::move(acknowledge));
+    return;
+  }
+  acknowledge();
+}
+
+void RelayNode::OnLeave(const std::string& id,
+                        std::function<void()> acknowledge) {
+  if (this->served.OnLeave(id) == control::ReportEffect::kChanged) {
+    this->LogInstance();
+    this->peers.TellNow();
+  }
+  this->AcknowledgeLeave(std::move(acknowledge));
+}
+
+void RelayNode::AcknowledgeLeave(std::function<void()> acknowledge) {
+  PendingAck pending;
+  pending.sequence = this->served.Ledger().current.sequence;
+  pending.until = BootTimeNow() + kConfirmWait;
+  pending.acknowledge = std::move(acknowledge);
+  this->pending_acks.push_back(std::move(pending));
+  this->peers.TellNow();
+}
+
+void RelayNode::RunAcks(Millis now, std::uint64_t seen) {
+  std::vector<PendingAck> open;
+  open.swap(this->pending_acks);
+  for (PendingAck& pending : open) {
+    if (pending.sequence <= seen || now >= pending.until) {
+      pending.acknowledge();
+    } else {
+      this->pending_acks.push_back(std::move(pending));
+    }
+  }
+}
+
+void RelayNode::OnState(const PeerPointer& peer) {
+  LogEvent(kEventPeerSeen, {{"peer", peer->node.name},
+                            {"service", peer->told.service},
+                            {"instance", peer->told.instance},
+                            {"version",
+                             std::to_string(peer->told.policy_version)}});
+}
+
+void RelayNode::OnCallFrame(const PeerLinkPointer& link,
+                            const RawFrame& frame) {
+  switch (frame.type) {
+    case FrameType::kCall: {
+      CallFrame call;
+      if (!Decode(frame.payload, call)) {
+        link->Close();
+        this->served.OnLinkClosed(link->Id());
+        return;
+      }
+      const std::int64_t offset =
+          BootTimeNow().count - static_cast<std::int64_t>(call.sent_ms);
+      const auto [known, is_new] =
+          this->clock_offsets.emplace(link->Id(), offset);
+      known->second = std::min(known->second, offset);
+      this->served.OnCall(link->Id(), call, Millis{offset - known->second});
+      return;
+    }
+    case FrameType::kCancel: {
+      std::uint32_t id = 0;
+      if (DecodeCancel(frame.payload, id)) {
+        this->served.OnCancel(link->Id(), id);
+      }
+      return;
+    }
+    case FrameType::kWindow: {
+      WindowFrame window;
+      if (Decode(frame.payload, window)) {
+        this->served.OnWindow(link->Id(), window.id, window.bytes);
+      }
+      return;
+    }
+    default:
+      // A newer node's frame; it does without an answer.
+      return;
+  }
+}
+
+void RelayNode::OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame) {
+  if (frame.type == FrameType::kAnswer) {
+    AnswerFrame answer;
+    if (Decode(frame.payload, answer)) {
+      this->entry.OnAnswer(peer, answer);
+    }
+  } else if (frame.type == FrameType::kData) {
+    DataFrame data;
+    if (Decode(frame.payload, data)) {
+      this->entry.OnPart(peer, data);
+    }
+  }
+}
+
+void RelayNode::Reload(const RelaySettings& changed) {
+  this->settings.service = changed.service;
+  this->settings.target_address = changed.target_address;
+  this->settings.repeats = changed.repeats;
+  this->served.SetTargetAddress(changed.target_address);
+}
+
+void RelayNode::ScheduleTick() {
+  this->tick_timer.expires_after(kTick);
+  this->tick_timer.async_wait([this](boost::system::error_code error) {
+    if (!error && !this->is_stopped) {
+      this->Tick();
+      this->ScheduleTick();
+    }
+  });
+}
+
+void RelayNode::Tick() {
+  const Millis now = BootTimeNow();
+  ++this->ticks;
+  this->entry.Sweep(now);
+  this->served.Sweep(now);
+  this->RunAcks(now, 0);
+  if (this->ticks % kPeerTicks == 0) {
+    this->peers.Tick(now);
+    this->entry.UpdateAdmission(now);
+  }
+  if (this->ticks % kIdleTicks == 0) {
+    this->callers.Sweep(now);
+  }
+  if (this->is_stopping) {
+    this->ContinueStop(now);
+  }
+}
+
+void RelayNode::Stop() {
+  if (this->is_stopping) {
+    return;
+  }
+  this->is_stopping = true;
+  this->stop_started = BootTimeNow();
+  LogEvent(kEventStopping,
+           {{"open_requests", std::to_string(this->entry.Open())},
+            {"running", std::to_string(this->served.Running())}});
+  this->callers.StartClosing();
+}
+
+void RelayNode::ContinueStop(Millis now) {
+  const Millis since = now - this->stop_started;
+  if (!this->is_leaving_told && since >= kTargetServes) {
+    this->is_leaving_told = true;
+    this->peers.TellNow();
+  }
+  if (since >= kCallersLeave) {
+    this->callers.CloseIdle();
+  }
+  const bool is_idle = this->entry.Open() == 0 && this->callers.Busy() == 0 &&
+                       this->served.Running() + this->served.Waiting() == 0;
+  const bool is_forced = since >= this->settings.grace - kLastAnswers;
+  if ((since >= kCallersLeave && is_idle) || is_forced) {
+    if (!is_idle) {
+      LogEvent(kEventDrainForced,
+               {{"open_requests", std::to_string(this->entry.Open())},
+                {"running", std::to_string(this->served.Running())}});
+    }
+    this->entry.EndAll();
+    this->is_stopped = true;
+    this->peers.Close();
+    this->hooks.on_stopped();
+  }
+}
+
+std::string RelayNode::Metrics() const {
+  std::string out;
+  const EntryCounters& counts = this->entry.Counters();
+  const auto add = [&out](const char* outcome, std::uint64_t value) {
+    WriteMetric(out, "almondlink_requests_total",
+                std::string("outcome=\"") + outcome + "\"",
+                static_cast<double>(value));
+  };
+  add("answered", counts.answered);
+  add("refused_at_entry", counts.refused_at_entry);
+  add("not_run", counts.not_run);
+  add("unknown", counts.unknown);
+  add("timed_out", counts.timed_out);
+  add("no_route", counts.no_route);
+  add("cancelled", counts.cancelled);
+  WriteMetric(out, "almondlink_repeats_total", "",
+              static_cast<double>(counts.repeats));
+  WriteMetric(out, "almondlink_moved_total", "",
+              static_cast<double>(counts.moved));
+  const LatencySummary added = this->entry.AddedTime();
+  WriteMetric(out, "almondlink_added_ms", "quantile=\"0.5\"", added.p50);
+  WriteMetric(out, "almondlink_added_ms", "quantile=\"0.99\"", added.p99);
+  WriteMetric(out, "almondlink_target_running", "", this->served.Running());
+  WriteMetric(out, "almondlink_target_waiting", "", this->served.Waiting());
+  WriteMetric(out, "almondlink_target_slots", "",
+              control::UsableSlots(this->served.Ledger()));
+  WriteMetric(out, "almondlink_target_connects_total", "",
+              static_cast<double>(this->served.Connects()));
+  WriteMetric(out, "almondlink_peers", "", this->peers.CountLive());
+  WriteMetric(out, "almondlink_policy_version", "",
+              static_cast<double>(this->PolicyVersion()));
+  for (const auto& [route, share] : this->entry.Admission().routes) {
+    WriteMetric(out, "almondlink_admitted_share",
+                "route=\"" + std::to_string(route) + "\"", share.share);
+  }
+  return out;
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/served_calls.cc
@@ -0,0 +1,408 @@
+#include "almondlink/relay/served_calls.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace almondlink::relay {
+
+namespace {
+
+/// Part of the drain time within which late calls still reach a leaving
+/// instance: entry nodes know of it within milliseconds, and the rest is for
+/// timers and a host that is slow.
+constexpr double kDrainPart = 0.6;
+/// Calls that may wait, in multiples of the slots; what is beyond could not be
+/// served within a deadline of twenty times the work.
+constexpr std::uint32_t kQueuePerSlot = 8;
+constexpr std::uint32_t kShortestQueue = 64;
+/// A call whose time left is below this would be cut at the target at once.
+constexpr Millis kLeastLeft{5};
+constexpr double kMicrosPerMilli = 1000;
+constexpr std::uint32_t kMisdirected = 421;
+
+}  // namespace
+
+struct ServedCalls::Call {
+  LinkId link = 0;
+  std::uint32_t id = 0;
+  Order order;
+  RunInfo info;
+  bool is_repeatable = false;
+  bool is_running = false;
+  bool is_answering = false;
+  /// Nobody waits for the answer any more.
+  bool is_abandoned = false;
+  Millis arrived;
+  Millis wait_until;
+  LatencyMs dispatched;
+  std::string request_id;
+  std::string method;
+  std::string start;
+  std::string caller_service;
+  std::string body;
+  TargetExchange exchange;
+};
+
+ServedCalls::ServedCalls(boost::asio::io_context& loop,
+                         const HeaderNames& names_in,
+                         Millis drain_in,
+                         ServedEvents events_in)
+    : names(names_in),
+      drain(drain_in),
+      events(std::move(events_in)),
+      pool(loop, names_in) {}
+
+ServedCalls::~ServedCalls() = default;
+
+void ServedCalls::SetTargetAddress(
+    const boost::asio::ip::tcp::endpoint& address) {
+  this->pool.SetAddress(address);
+}
+
+std::uint32_t ServedCalls::Running() const {
+  return this->running;
+}
+
+std::uint32_t ServedCalls::Waiting() const {
+  return static_cast<std::uint32_t>(this->queue.size());
+}
+
+bool ServedCalls::IsPastDrain(Millis now) const {
+  const Millis allowed{static_cast<std::int64_t>(
+      static_cast<double>(this->drain.count) * kDrainPart)};
+  return this->ledger.phase == control::InstancePhase::kLeaving &&
+         now - this->ledger.leaving_since > allowed;
+}
+
+CallReason ServedCalls::WhyNotServed(Millis now, const CallFrame& frame) const {
+  if (this->ledger.phase == control::InstancePhase::kNone) {
+    return CallReason::kNoInstance;
+  }
+  if (frame.instance != this->ledger.current.id) {
+    return CallReason::kOtherInstance;
+  }
+  if (this->IsPastDrain(now)) {
+    return CallReason::kDraining;
+  }
+  return CallReason::kNone;
+}
+
+void ServedCalls::OnCall(LinkId link, const CallFrame& frame, Millis held) {
+  const Millis now = BootTimeNow();
+  ++this->counters.calls;
+  const CallPointer call = std::make_shared<Call>();
+  call->link = link;
+  call->id = frame.id;
+  call->request_id.assign(frame.request_id);
+  call->arrived = now;
+  call->info.deadline = now + Millis{frame.left_ms} - held;
+  call->info.root_route = frame.root_route;
+  call->info.priority = frame.priority;
+  call->info.depth = frame.depth;
+  call->info.is_repeat = frame.is_repeat;
+  call->is_repeatable = frame.is_repeatable;
+  call->wait_until = std::min(call->info.deadline - kLeastLeft,
+                              now + Millis{frame.wait_ms});
+  CallReason fault = this->WhyNotServed(now, frame);
+  if (fault == CallReason::kNone && call->info.deadline <= now + kLeastLeft) {
+    fault = CallReason::kDeadline;
+  }
+  if (fault != CallReason::kNone) {
+    this->Reject(call, fault);
+    return;
+  }
+  control::NoteDemand(frame.root_route, this->meter);
+  call->method.assign(frame.method);
+  call->start.reserve(frame.target.size() + frame.fields.size() + 200);
+  call->start.append(frame.method).append(" ").append(frame.target);
+  call->start.append(" HTTP/1.1\r\n").append(frame.fields);
+  call->caller_service.assign(frame.caller_service);
+  call->body.assign(frame.body);
+  call->order = Order{frame.priority, -static_cast<int>(frame.depth),
+                      ++this->arrivals};
+  this->calls.emplace(CallKey{link, frame.id}, call);
+  this->queue.emplace(call->order, call);
+  this->Fill(now);
+  const std::uint32_t most = std::max(
+      kShortestQueue, kQueuePerSlot * control::UsableSlots(this->ledger));
+  if (this->queue.size() > most) {
+    const CallPointer last = std::prev(this->queue.end())->second;
+    this->Reject(last, CallReason::kFull);
+  }
+}
+
+void ServedCalls::Fill(Millis now) {
+  const std::uint32_t slots = control::UsableSlots(this->ledger);
+  while (!this->queue.empty() && this->running < slots) {
+    const CallPointer call = this->queue.begin()->second;
+    if (this->IsPastDrain(now)) {
+      this->Reject(call, CallReason::kDraining);
+      continue;
+    }
+    if (call->info.deadline <= now + kLeastLeft) {
+      this->Reject(call, CallReason::kDeadline);
+      continue;
+    }
+    this->queue.erase(this->queue.begin());
+    this->Dispatch(now, call);
+  }
+}
+
+void ServedCalls::Dispatch(Millis now, const CallPointer& call) {
+  call->is_running = true;
+  ++this->running;
+  call->dispatched = PreciseNow();
+  this->runs[call->request_id] = call;
+  TargetRequest request;
+  request.id = call->request_id;
+  request.is_head_method = call->method == "HEAD";
+  request.is_repeatable = call->is_repeatable;
+  request.bytes = std::move(call->start);
+  std::string& bytes = request.bytes;
+  const Millis left = call->info.deadline - now;
+  bytes.append(this->names.time_left)
+      .append(": ")
+      .append(std::to_string(left.count))
+      .append("\r\n")
+      .append(this->names.target_instance)
+      .append(": ")
+      .append(this->ledger.current.id)
+      .append("\r\n")
+      .append(this->names.caller_service)
+      .append(": ")
+      .append(call->caller_service)
+      .append("\r\n");
+  const bool has_body = !call->body.empty() ||
+                        (call->method != "GET" && call->method != "HEAD");
+  if (has_body) {
+    bytes.append("Content-Length: ")
+        .append(std::to_string(call->body.size()))
+        .append("\r\n");
+  }
+  bytes.append("\r\n").append(call->body);
+  std::string().swap(call->body);
+  TargetEvents target_events;
+  const std::weak_ptr<Call> weak = call;
+  target_events.on_answer = [this, weak](const AnswerHead& head,
+                                         const std::string& body,
+                                         bool has_more) {
+    if (const CallPointer open = weak.lock()) {
+      this->OnAnswer(open, head, body, has_more);
+    }
+  };
+  target_events.on_part = [this, weak](const std::string& part, bool is_last,
+                                       bool is_broken) {
+    if (const CallPointer open = weak.lock()) {
+      this->OnPart(open, part, is_last, is_broken);
+    }
+  };
+  target_events.on_failed = [this, weak](CallReason reason, bool was_sent) {
+    const CallPointer open = weak.lock();
+    if (open == nullptr) {
+      return;
+    }
+    this->EndRun(open);
+    this->SendOutcome(
+        open, was_sent ? CallOutcome::kBroken : CallOutcome::kNotSent, reason);
+    this->Fill(BootTimeNow());
+  };
+  call->exchange =
+      this->pool.Send(now, std::move(request), std::move(target_events));
+}
+
+void ServedCalls::OnAnswer(const CallPointer& call,
+                           const AnswerHead& head,
+                           const std::string& body,
+                           bool has_more) {
+  const LatencyMs work{PreciseNow().count - call->dispatched.count};
+  AnswerFrame answer;
+  answer.id = call->id;
+  const bool has_not_run = head.is_not_run || head.status == kMisdirected;
+  answer.outcome = has_not_run ? CallOutcome::kRefusedByTarget
+                               : CallOutcome::kAnswered;
+  answer.has_more = has_more;
+  answer.status = static_cast<std::uint16_t>(head.status);
+  answer.status_text = head.reason;
+  answer.fields = head.fields;
+  answer.body = body;
+  answer.work_us = static_cast<std::uint32_t>(work.count * kMicrosPerMilli);
+  if (has_not_run) {
+    ++this->counters.refused_by_target;
+  } else {
+    ++this->counters.answered;
+    control::NoteWork(call->info.root_route, work, this->meter);
+  }
+  call->is_answering = has_more;
+  if (!has_more) {
+    this->EndRun(call);
+  }
+  answer.running = this->Running();
+  answer.waiting = this->Waiting();
+  if (!call->is_abandoned) {
+    this->events.on_answer(call->link, answer);
+  }
+  if (!has_more) {
+    this->Fill(BootTimeNow());
+  }
+}
+
+void ServedCalls::OnPart(const CallPointer& call,
+                         const std::string& part,
+                         bool is_last,
+                         bool is_broken) {
+  DataFrame frame;
+  frame.id = call->id;
+  frame.is_last = is_last;
+  frame.is_broken = is_broken;
+  frame.body = part;
+  if (is_last) {
+    this->EndRun(call);
+  }
+  if (!call->is_abandoned) {
+    this->events.on_part(call->link, frame);
+  }
+  if (is_last) {
+    this->Fill(BootTimeNow());
+  }
+}
+
+/// Forgets a call that ran or waited.
+void ServedCalls::EndRun(const CallPointer& call) {
+  this->queue.erase(call->order);
+  this->calls.erase(CallKey{call->link, call->id});
+  if (call->is_running) {
+    call->is_running = false;
+    --this->running;
+  }
+  const auto run = this->runs.find(call->request_id);
+  if (run != this->runs.end() && run->second == call) {
+    this->runs.erase(run);
+  }
+}
+
+void ServedCalls::Reject(const CallPointer& call, CallReason reason) {
+  this->EndRun(call);
+  this->SendOutcome(call, CallOutcome::kNotSent, reason);
+}
+
+void ServedCalls::SendOutcome(const CallPointer& call,
+                              CallOutcome outcome,
+                              CallReason reason) {
+  const bool was_sent = outcome == CallOutcome::kBroken;
+  ++(was_sent ? this->counters.broken : this->counters.not_sent);
+  this->events.on_failed(call->request_id, reason, was_sent,
+                         BootTimeNow() - call->arrived);
+  if (call->is_abandoned) {
+    return;
+  }
+  AnswerFrame answer;
+  answer.id = call->id;
+  answer.outcome = outcome;
+  answer.reason = reason;
+  answer.running = this->Running();
+  answer.waiting = this->Waiting();
+  this->events.on_answer(call->link, answer);
+}
+
+void ServedCalls::OnCancel(LinkId link, std::uint32_t id) {
+  const auto found = this->calls.find(CallKey{link, id});
+  if (found == this->calls.end()) {
+    return;
+  }
+  const CallPointer call = found->second;
+  ++this->counters.cancelled;
+  if (call->is_running && !call->is_repeatable) {
+    // Work that may run once is finished; cutting it would leave it half done.
+    call->is_abandoned = true;
+    return;
+  }
+  TargetPool::Cancel(call->exchange);
+  this->EndRun(call);
+  this->Fill(BootTimeNow());
+}
+
+void ServedCalls::OnWindow(LinkId link,
+                           std::uint32_t id,
+                           std::uint32_t bytes) {
+  const auto found = this->calls.find(CallKey{link, id});
+  if (found != this->calls.end()) {
+    TargetPool::Taken(found->second->exchange, bytes);
+  }
+}
+
+void ServedCalls::OnLinkClosed(LinkId link) {
+  std::vector<std::uint32_t> lost;
+  for (auto entry = this->calls.lower_bound(CallKey{link, 0});
+       entry != this->calls.end() && entry->first.first == link; ++entry) {
+    lost.push_back(entry->first.second);
+  }
+  for (const std::uint32_t id : lost) {
+    this->OnCancel(link, id);
+  }
+}
+
+control::ReportEffect ServedCalls::OnReport(
+    const control::InstanceReport& report) {
+  const std::string before = this->ledger.current.id;
+  const control::ReportEffect effect =
+      control::TakeReport(BootTimeNow(), report, this->ledger);
+  if (before != this->ledger.current.id) {
+    // Connections to the one before must not carry requests for this one.
+    this->pool.CloseIdle();
+  }
+  return effect;
+}
+
+control::ReportEffect ServedCalls::OnLeave(const std::string& id) {
+  return control::TakeLeave(BootTimeNow(), id, this->ledger);
+}
+
+control::ReportEffect ServedCalls::Remember(const std::string& id) {
+  return control::RememberLeft(BootTimeNow(), id, this->ledger);
+}
+
+std::optional<RunInfo> ServedCalls::FindRun(
+    const std::string& request_id) const {
+  const auto found = this->runs.find(request_id);
+  if (found == this->runs.end()) {
+    return std::nullopt;
+  }
+  return found->second->info;
+}
+
+void ServedCalls::Sweep(Millis now) {
+  std::vector<CallPointer> late;
+  for (const auto& [order, call] : this->queue) {
+    if (now >= call->wait_until || this->IsPastDrain(now)) {
+      late.push_back(call);
+    }
+  }
+  for (const CallPointer& call : late) {
+    const bool is_deadline = call->info.deadline <= now + kLeastLeft;
+    this->Reject(call, this->IsPastDrain(now) ? CallReason::kDraining
+                       : is_deadline          ? CallReason::kDeadline
+                                              : CallReason::kFull);
+  }
+  late.clear();
+  for (const auto& [id, call] : this->runs) {
+    if (now > call->info.deadline && !call->is_answering) {
+      late.push_back(call);
+    }
+  }
+  for (const CallPointer& call : late) {
+    const LatencyMs work{PreciseNow().count - call->dispatched.count};
+    control::NoteWork(call->info.root_route, work, this->meter);
+    TargetPool::Cancel(call->exchange);
+    this->EndRun(call);
+    this->SendOutcome(call, CallOutcome::kBroken, CallReason::kTimeout);
+  }
+  this->pool.Sweep(now);
+  this->Fill(now);
+  if (now - this->meter.window_start >= Millis{100}) {
+    control::UpdateDemand(now, this->meter);
+  }
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/target_connection.cc
@@ -0,0 +1,285 @@
+#include "target_connection.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+#include "almondlink/base/clock.h"
+#include "almondlink/relay/socket_options.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+/// Answers up to this size are handed on whole, so that one that is cut short
+/// can be asked for again before its caller has seen any of it.
+constexpr std::size_t kWholeAnswer = 256 * 1024;
+/// Bytes of a long answer on their way to the caller; above it reading stops.
+constexpr std::size_t kStreamWindow = 256 * 1024;
+constexpr Millis kConnectTimeout{1000};
+/// A connection to the same host that acknowledges nothing for so long is gone.
+constexpr Millis kSilence{1000};
+/// Idle time if the target states none, and the part of a stated one that is
+/// used: the target must not close while a request is on its way.
+constexpr Millis kIdleDefault{3000};
+constexpr std::int64_t kIdleMargin = 1500;
+constexpr std::int64_t kMillisPerSecond = 1000;
+constexpr std::uint32_t kFirstSuccess = 200;
+constexpr std::uint32_t kFirstRedirect = 300;
+constexpr std::uint32_t kMisdirected = 421;
+
+}  // namespace
+
+TargetConnection::TargetConnection(std::weak_ptr<TargetPool::State> pool_in,
+                                   boost::asio::io_context& loop,
+                                   const HeaderNames& names_in)
+    : pool(std::move(pool_in)), socket(loop), names(names_in) {}
+
+void TargetConnection::Open(Millis now,
+                            const boost::asio::ip::tcp::endpoint& address,
+                            TargetRequest request_in,
+                            TargetEvents events_in) {
+  this->opened = now;
+  this->is_connecting = true;
+  this->is_busy = true;
+  this->request = std::move(request_in);
+  this->events = std::move(events_in);
+  this->socket.async_connect(
+      address,
+      [self = this->shared_from_this()](boost::system::error_code error) {
+        if (!self->is_connecting) {
+          return;
+        }
+        self->is_connecting = false;
+        if (error) {
+          self->Fail(CallReason::kConnectFailed);
+          return;
+        }
+        PrepareSocket(self->socket, kSilence);
+        self->Use(std::move(self->request), std::move(self->events));
+      });
+}
+
+void TargetConnection::Use(TargetRequest request_in, TargetEvents events_in) {
+  this->request = std::move(request_in);
+  this->events = std::move(events_in);
+  this->is_busy = true;
+  this->written = 0;
+  this->untaken = 0;
+  this->is_streaming = false;
+  this->has_skipped = false;
+  this->parser.emplace(this->names);
+  this->parser->skip(this->request.is_head_method);
+  this->Write();
+  this->Read();
+}
+
+void TargetConnection::Close() {
+  this->is_busy = false;
+  this->is_connecting = false;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->events = {};
+}
+
+void TargetConnection::CheckConnect(Millis now) {
+  if (this->is_connecting && now - this->opened > kConnectTimeout) {
+    this->Fail(CallReason::kConnectFailed);
+  }
+}
+
+void TargetConnection::Write() {
+  const std::string& bytes = this->request.bytes;
+  while (this->written < bytes.size() && this->socket.is_open()) {
+    boost::system::error_code error;
+    this->written += this->socket.write_some(
+        boost::asio::buffer(bytes.data() + this->written,
+                            bytes.size() - this->written),
+        error);
+    if (error == boost::asio::error::would_block) {
+      this->socket.async_wait(
+          boost::asio::ip::tcp::socket::wait_write,
+          [self = this->shared_from_this()](boost::system::error_code failed) {
+            if (!failed && self->is_busy) {
+              self->Write();
+            }
+          });
+      return;
+    }
+    if (error) {
+      // The answer may still be there to be read; reading tells the end.
+      return;
+    }
+  }
+}
+
+void TargetConnection::Read() {
+  const bool is_held = this->is_streaming && this->untaken >= kStreamWindow;
+  if (this->is_reading || is_held || !this->socket.is_open()) {
+    return;
+  }
+  this->is_reading = true;
+  this->socket.async_read_some(
+      boost::asio::buffer(this->buffer),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t size) {
+        self->is_reading = false;
+        self->OnRead(error, size);
+      });
+}
+
+void TargetConnection::OnRead(const boost::system::error_code& error,
+                              std::size_t size) {
+  if (!this->socket.is_open()) {
+    return;
+  }
+  if (!this->is_busy) {
+    // Closed while idle, or bytes that belong to no request.
+    this->Close();
+    return;
+  }
+  if (error) {
+    const bool is_proper_end = error == boost::asio::error::eof &&
+                               this->parser->FinishAtEnd() &&
+                               this->IsOfThisRequest();
+    if (is_proper_end) {
+      this->Deliver(true);
+      return;
+    }
+    this->Fail(CallReason::kClosed);
+    return;
+  }
+  this->input.append(this->buffer.data(), size);
+  this->Parse();
+}
+
+void TargetConnection::Parse() {
+  while (this->is_busy) {
+    const ParseStep step = this->parser->Feed(this->input);
+    if (step == ParseStep::kBad) {
+      this->Fail(CallReason::kBadAnswer);
+      return;
+    }
+    const bool is_complete = step == ParseStep::kDone;
+    const bool is_interim =
+        is_complete && this->parser->head.status < kFirstSuccess;
+    const bool is_other = is_complete && !is_interim && !this->is_streaming &&
+                          !this->IsOfThisRequest();
+    if (is_interim || is_other) {
+      if (is_other && this->has_skipped) {
+        this->Fail(CallReason::kBadAnswer);
+        return;
+      }
+      // An answer of an earlier request may come late; ours can follow it.
+      this->has_skipped = this->has_skipped || is_other;
+      this->parser.emplace(this->names);
+      this->parser->skip(this->request.is_head_method);
+      if (this->input.empty()) {
+        this->Read();
+        return;
+      }
+      continue;
+    }
+    if (is_complete) {
+      this->Deliver(true);
+      return;
+    }
+    const bool is_long = this->parser->is_header_done() &&
+                         this->parser->body.size() > kWholeAnswer;
+    if (this->is_streaming || (is_long && this->IsOfThisRequest())) {
+      this->Deliver(false);
+    }
+    this->Read();
+    return;
+  }
+}
+
+bool TargetConnection::IsOfThisRequest() const {
+  const AnswerHead& head = this->parser->head;
+  const bool is_success =
+      head.status >= kFirstSuccess && head.status < kFirstRedirect;
+  if (is_success) {
+    return head.id == this->request.id && head.has_seal && !head.is_encoded;
+  }
+  if (head.is_not_run || head.status == kMisdirected) {
+    return head.id.empty() || head.id == this->request.id;
+  }
+  return head.has_seal && head.id == this->request.id;
+}
+
+void TargetConnection::Deliver(bool is_complete) {
+  const std::shared_ptr<TargetConnection> self = this->shared_from_this();
+  std::string body = std::move(this->parser->body);
+  this->parser->body.clear();
+  if (this->is_streaming) {
+    this->untaken += body.size();
+    const auto on_part = this->events.on_part;
+    if (is_complete) {
+      this->Complete();
+    }
+    if (!body.empty() || is_complete) {
+      on_part(std::move(body), is_complete, false);
+    }
+    return;
+  }
+  const AnswerHead head = this->parser->head;
+  const auto on_answer = this->events.on_answer;
+  if (is_complete) {
+    this->Complete();
+  } else {
+    this->is_streaming = true;
+    this->untaken += body.size();
+  }
+  on_answer(head, std::move(body), !is_complete);
+}
+
+void TargetConnection::Complete() {
+  const bool is_usable = this->parser->head.is_keep_alive &&
+                         !this->has_skipped && this->input.empty() &&
+                         this->written == this->request.bytes.size() &&
+                         this->socket.is_open();
+  if (!is_usable) {
+    this->Close();
+    return;
+  }
+  this->BecomeIdle();
+}
+
+void TargetConnection::BecomeIdle() {
+  const std::shared_ptr<TargetPool::State> shared = this->pool.lock();
+  if (shared == nullptr) {
+    this->Close();
+    return;
+  }
+  const std::int64_t stated =
+      this->parser->head.keep_alive_s * kMillisPerSecond - kIdleMargin;
+  this->is_busy = false;
+  this->events = {};
+  this->idle_since = BootTimeNow();
+  this->idle_until = this->idle_since +
+                     (stated > 0 ? Millis{stated} : kIdleDefault);
+  shared->idle.push_back(this->shared_from_this());
+  this->Read();
+}
+
+void TargetConnection::Fail(CallReason reason) {
+  const std::shared_ptr<TargetConnection> self = this->shared_from_this();
+  const bool was_sent = this->written > 0;
+  const bool was_streaming = this->is_streaming;
+  const TargetEvents last = std::move(this->events);
+  this->Close();
+  if (was_streaming) {
+    last.on_part(std::string(), true, true);
+  } else if (last.on_failed) {
+    last.on_failed(reason, was_sent);
+  }
+}
+
+void TargetConnection::Taken(std::size_t bytes) {
+  this->untaken -= std::min(bytes, this->untaken);
+  if (this->is_busy && this->is_streaming) {
+    this->Read();
+  }
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/target_connection.h
@@ -0,0 +1,87 @@
+#ifndef ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
+#define ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "almondlink/relay/target_pool.h"
+
+namespace almondlink::relay {
+
+/// One connection to the target and the exchange on it.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+ public:
+  TargetConnection(std::weak_ptr<TargetPool::State> pool,
+                   boost::asio::io_context& loop,
+                   const HeaderNames& names);
+
+  /// Connects, then sends.
+  void Open(Millis now,
+            const boost::asio::ip::tcp::endpoint& address,
+            TargetRequest request,
+            TargetEvents events);
+  /// Sends on this idle connection.
+  void Use(TargetRequest request, TargetEvents events);
+  /// Closes; no event follows.
+  void Close();
+  void Taken(std::size_t bytes);
+  /// Ends a connect that takes too long.
+  void CheckConnect(Millis now);
+
+  bool IsOpen() const { return this->socket.is_open(); }
+  bool IsBusy() const { return this->is_busy; }
+  Millis IdleUntil() const { return this->idle_until; }
+  Millis IdleSince() const { return this->idle_since; }
+
+ private:
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void Parse();
+  /// What the parsed head says of this exchange.
+  bool IsOfThisRequest() const;
+  void Deliver(bool is_complete);
+  void Complete();
+  void Fail(CallReason reason);
+  void BecomeIdle();
+
+  std::weak_ptr<TargetPool::State> pool;
+  boost::asio::ip::tcp::socket socket;
+  const HeaderNames& names;
+  std::array<char, 8192> buffer;
+  std::string input;
+  std::optional<AnswerParser> parser;
+  TargetRequest request;
+  TargetEvents events;
+  std::size_t written = 0;
+  /// Bytes of a long answer that were handed on and not taken yet.
+  std::size_t untaken = 0;
+  bool is_busy = false;
+  bool is_connecting = false;
+  bool is_reading = false;
+  bool is_streaming = false;
+  bool has_skipped = false;
+  Millis opened;
+  Millis idle_since;
+  Millis idle_until;
+};
+
+/// What the pool and its connections share.
+struct TargetPool::State {
+  State(boost::asio::io_context& loop_in, const HeaderNames& names_in)
+      : loop(loop_in), names(names_in) {}
+  boost::asio::io_context& loop;
+  const HeaderNames& names;
+  boost::asio::ip::tcp::endpoint address;
+  /// Most recently used last.
+  std::vector<std::shared_ptr<TargetConnection>> idle;
+  std::vector<std::weak_ptr<TargetConnection>> connecting;
+  std::uint64_t connects = 0;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
--- /dev/null
+++ b/libs/relay/src/target_pool.cc
@@ -0,0 +1,105 @@
+#include "almondlink/relay/target_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "target_connection.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+/// A request that may run once goes only to a connection that was in use this
+/// shortly before: an older one may be closed by the target at this moment.
+constexpr Millis kFreshIdle{1000};
+
+}  // namespace
+
+TargetPool::TargetPool(boost::asio::io_context& loop, const HeaderNames& names)
+    : state(std::make_shared<State>(loop, names)) {}
+
+TargetPool::~TargetPool() {
+  this->CloseIdle();
+}
+
+void TargetPool::SetAddress(const boost::asio::ip::tcp::endpoint& address) {
+  if (this->state->address != address) {
+    this->CloseIdle();
+    this->state->address = address;
+  }
+}
+
+TargetExchange TargetPool::Send(Millis now,
+                                TargetRequest request,
+                                TargetEvents events) {
+  std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
+  while (!idle.empty()) {
+    const std::shared_ptr<TargetConnection> last = idle.back();
+    const bool is_stale = !last->IsOpen() || now >= last->IdleUntil();
+    const bool is_too_old =
+        !request.is_repeatable && now - last->IdleSince() > kFreshIdle;
+    if (is_too_old && !is_stale) {
+      break;
+    }
+    idle.pop_back();
+    if (is_stale) {
+      last->Close();
+      continue;
+    }
+    last->Use(std::move(request), std::move(events));
+    return last;
+  }
+  const std::shared_ptr<TargetConnection> fresh =
+      std::make_shared<TargetConnection>(this->state, this->state->loop,
+                                         this->state->names);
+  ++this->state->connects;
+  this->state->connecting.push_back(fresh);
+  fresh->Open(now, this->state->address, std::move(request), std::move(events));
+  return fresh;
+}
+
+void TargetPool::Cancel(const TargetExchange& exchange) {
+  if (exchange != nullptr) {
+    exchange->Close();
+  }
+}
+
+void TargetPool::Taken(const TargetExchange& exchange, std::size_t bytes) {
+  if (exchange != nullptr) {
+    exchange->Taken(bytes);
+  }
+}
+
+void TargetPool::Sweep(Millis now) {
+  std::vector<std::weak_ptr<TargetConnection>> connecting;
+  connecting.swap(this->state->connecting);
+  for (const std::weak_ptr<TargetConnection>& entry : connecting) {
+    const std::shared_ptr<TargetConnection> connection = entry.lock();
+    if (connection != nullptr && connection->IsBusy()) {
+      connection->CheckConnect(now);
+      this->state->connecting.push_back(entry);
+    }
+  }
+  std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
+  const auto is_over = [now](const std::shared_ptr<TargetConnection>& entry) {
+    if (entry->IsOpen() && now < entry->IdleUntil()) {
+      return false;
+    }
+    entry->Close();
+    return true;
+  };
+  idle.erase(std::remove_if(idle.begin(), idle.end(), is_over), idle.end());
+}
+
+void TargetPool::CloseIdle() {
+  for (const std::shared_ptr<TargetConnection>& entry : this->state->idle) {
+    entry->Close();
+  }
+  this->state->idle.clear();
+}
+
+std::uint64_t TargetPool::Connects() const {
+  return this->state->connects;
+}
+
+}  // namespace almondlink::relay
