A class is shed only if one of its own requests waited

Ruled out: orders waiting behind pages (the queue is by class). Test first: 'a class that does not wait is not shed at the start of a surge' fails on the old decision. Change: the level never reaches into a class of which no request waited beyond the target or was evicted.

--- a/libs/control/include/almondlink/control/pressure.h
+++ b/libs/control/include/almondlink/control/pressure.h
@@ -14,6 +14,9 @@
 /// wait stands above its target, the threshold falls to the highest rank whose
 /// arrivals, added up from rank 0, do not exceed what the target completed in
 /// the window: one step to the right level instead of many small ones. When the
+/// A class is shed only if one of its own requests waited too long: the queue is
+/// served by class, so a class that does not wait has room, however little was
+/// completed in the window (at the start of a surge, next to nothing). When the
 /// wait is below, the threshold rises by a quarter of the ranks still shed, so
 /// pressure is gone about a second after its cause. The level goes back to
 /// callers' nodes on every answer and is forgotten there after `kLevelLife`, so
@@ -33,15 +36,22 @@
   std::uint32_t dequeued = 0;
   std::int64_t wait_sum = 0;
   std::uint32_t expired = 0;
+  /// The most valued class of which a request waited too long or was evicted in
+  /// the window; kCriticalityCount if none was.
+  std::uint32_t first_late = kCriticalityCount;
   std::array<std::uint32_t, kRankCount> arrivals{};
 };
 
 /// Notes an arrival, whether or not it is admitted.
 void NoteArrival(ShedRank rank, Pressure& pressure);
-/// Notes that a request left the queue for the target after `wait`.
-void NoteDequeue(Millis wait, Pressure& pressure);
-/// Notes a request that was evicted or waited too long.
-void NoteExpired(Pressure& pressure);
+/// Notes that a request of that class left the queue for the target after
+/// `wait`.
+void NoteDequeue(Criticality criticality,
+                 Millis wait,
+                 Millis queue_target,
+                 Pressure& pressure);
+/// Notes a request of that class that was evicted or waited too long.
+void NoteExpired(Criticality criticality, Pressure& pressure);
 /// Notes that the target completed a request.
 void NoteCompletion(Pressure& pressure);
 
--- a/libs/control/src/admission.cc
+++ b/libs/control/src/admission.cc
@@ -69,12 +69,13 @@
       break;
     }
     const Ticket ticket = last->second.request.ticket;
+    const Criticality last_class = last->first.criticality;
     admission.waiting.erase(ticket);
     admission.queue.erase(last);
-    NoteExpired(admission.pressure);
+    NoteExpired(last_class, admission.pressure);
     step.refuse.push_back(Refusal{ticket, ErrorKind::kOverloaded});
   }
-  NoteExpired(admission.pressure);
+  NoteExpired(request.criticality, admission.pressure);
   step.refuse.push_back(Refusal{request.ticket, ErrorKind::kOverloaded});
 }
 
@@ -86,7 +87,7 @@
     RefuseForLoad(request, admission, step);
     return;
   }
-  NoteExpired(admission.pressure);
+  NoteExpired(request.criticality, admission.pressure);
   step.refuse.push_back(Refusal{request.ticket, kind});
 }
 
@@ -103,7 +104,8 @@
       RefuseStale(stale, entry.request, admission, step);
       continue;
     }
-    NoteDequeue(now - entry.arrived, admission.pressure);
+    NoteDequeue(entry.request.criticality, now - entry.arrived,
+                rules.queue_target, admission.pressure);
     ++admission.in_flight;
     step.dispatch.push_back(entry.request.ticket);
   }
--- a/libs/control/src/pressure.cc
+++ b/libs/control/src/pressure.cc
@@ -35,9 +35,15 @@
   pressure.dequeued = 0;
   pressure.wait_sum = 0;
   pressure.expired = 0;
+  pressure.first_late = kCriticalityCount;
   pressure.arrivals.fill(0);
 }
 
+void NoteLate(Criticality criticality, Pressure& pressure) {
+  pressure.first_late = std::min(pressure.first_late,
+                                 static_cast<std::uint32_t>(criticality));
+}
+
 std::uint32_t Raised(std::uint32_t threshold) {
   const std::uint32_t rise =
       std::max(kLeastRise, (kRankCount - threshold) / kRiseShare);
@@ -50,13 +56,20 @@
   ++pressure.arrivals[std::min(rank.Value(), kRankCount - 1)];
 }
 
-void NoteDequeue(Millis wait, Pressure& pressure) {
+void NoteDequeue(Criticality criticality,
+                 Millis wait,
+                 Millis queue_target,
+                 Pressure& pressure) {
   ++pressure.dequeued;
   pressure.wait_sum += wait.count;
+  if (wait > queue_target) {
+    NoteLate(criticality, pressure);
+  }
 }
 
-void NoteExpired(Pressure& pressure) {
+void NoteExpired(Criticality criticality, Pressure& pressure) {
   ++pressure.expired;
+  NoteLate(criticality, pressure);
 }
 
 void NoteCompletion(Pressure& pressure) {
@@ -83,8 +96,10 @@
       is_busy && (mean_wait > queue_target.count || pressure.expired > 0);
   if (is_over) {
     const double offered = std::max<double>(1, pressure.completed) * kHeadroom;
-    pressure.threshold =
-        std::min(pressure.threshold, ThresholdFor(offered, pressure));
+    const std::uint32_t kept = pressure.first_late * kRanksPerClass;
+    const std::uint32_t wanted =
+        std::max(kept, ThresholdFor(offered, pressure));
+    pressure.threshold = std::min(pressure.threshold, wanted);
   } else if (mean_wait * 2 <= queue_target.count) {
     pressure.threshold = Raised(pressure.threshold);
   }
--- a/libs/control/tests/admission_test.cc
+++ b/libs/control/tests/admission_test.cc
@@ -54,6 +54,23 @@
   REQUIRE(refused_other == 16);
 }
 
+TEST_CASE("a class that does not wait is not shed at the start of a surge") {
+  // Pattern: a cold target is overrun by pages within its first window; next to
+  // nothing is completed, and the level that fits that little lies within the
+  // ranks of the few orders that came too, though no order waited.
+  Pressure pressure;
+  NoteArrival(ShedRank(10), pressure);
+  NoteArrival(ShedRank(200), pressure);
+  for (std::uint32_t page = 0; page < 40; ++page) {
+    NoteArrival(ShedRank(2 * kRanksPerClass + page), pressure);
+    NoteDequeue(Criticality::kNormal, Millis{80}, Millis{20}, pressure);
+  }
+  NoteCompletion(pressure);
+  UpdatePressure(Millis{20}, Millis{100}, true, pressure);
+  REQUIRE(IsBelowThreshold(ShedRank(255), pressure));
+  REQUIRE_FALSE(IsBelowThreshold(ShedRank(2 * kRanksPerClass + 39), pressure));
+}
+
 TEST_CASE("never is a valued class refused while a lesser one is dispatched") {
   // Random arrivals far above capacity; at every dispatch no more valued
   // request waits.
@@ -220,7 +237,8 @@
   }
   for (int i = 0; i < 256; ++i) {
     NoteCompletion(pressure);
-    NoteDequeue(Millis{80}, pressure);
+    NoteDequeue(static_cast<Criticality>(i % 4), Millis{80}, Millis{20},
+                pressure);
   }
   REQUIRE(UpdatePressure(Millis{20}, Millis{100}, true, pressure));
   // What was completed, with the headroom of a fifth.
