Shares from what is offered, services settled tightest first

Change: wanted slots = offered roots x calls for each root x time of a call, all measured apart; a target that turned slow counts for less room; the service with the most pressure is settled first.

--- a/almondlink/main.cc
+++ b/almondlink/main.cc
@@ -99,6 +99,8 @@
     PrintUsage(std::cerr);
     return almondlink::tool::kExitUsage;
   }
-  return almondlink::HandleFailure([&]() { return command->run(words); },
-                                   ExitCodeFor);
+  const int exit_code = almondlink::HandleFailure(
+      [&]() { return command->run(words); }, ExitCodeFor);
+  almondlink::FinishLog(almondlink::Millis{500});
+  return exit_code;
 }
--- a/almondlinkd/main.cc
+++ b/almondlinkd/main.cc
@@ -22,6 +22,8 @@
 
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotStart = 3;
+/// Time for the last log lines to be taken.
+constexpr almondlink::Millis kLastLines{500};
 
 almondlink::daemon::Node* running_node = nullptr;
 
@@ -63,12 +65,15 @@
         return ReportFailure(failure);
       });
   if (started != 0) {
+    almondlink::FinishLog(kLastLines);
     return started;
   }
   running_node = &node;
   std::signal(SIGTERM, HandleStopSignal);
   std::signal(SIGINT, HandleStopSignal);
-  return node.RunUntilStopped();
+  const int exit_code = node.RunUntilStopped();
+  almondlink::FinishLog(kLastLines);
+  return exit_code;
 }
 
 }  // namespace
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -92,6 +92,7 @@
   int RunUntilStopped() {
     while (!this->is_stop_asked.load()) {
       Sleep(kPoll);
+      FlushLog();
     }
     LogEvent(kEventStopping);
     this->BeginDraining();
--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -35,7 +35,7 @@
 TEST_CASE("the catalogue of events and the code agree") {
   std::set<std::string> in_code;
   std::istringstream code(
-      ReadAll("libs/base/include/almondlink/base/event_log.h"));
+      ReadAll("libs/base/include/almondlink/base/events.generated.h"));
   std::string line;
   std::string text;
   while (std::getline(code, line)) {
--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "almondlink/base/clock.h"
@@ -13,75 +15,100 @@
 ///
 /// A root request is worth its value only if all calls of its chain succeed;
 /// one that is refused deep in the chain has used the services above it for
-/// nothing. So load is refused at the root, before anything has run. Each
-/// service tells how many slots the calls of each root route want there
-/// (DemandMeter), how many it has, and what waits. From this the share of each
-/// route's root requests that fits is worked out in one step instead of being
-/// felt for: the room is given out by priority, after a small assured share for
-/// every route, and a route gets the least of what the services of its chain
-/// allow. All nodes see the same figures and so come to the same shares.
+/// nothing. So load is refused at the root, before anything has run, and the
+/// share of each route's roots that fits is worked out instead of felt for:
+///
+///     slots wanted at a service by a route
+///         = roots offered per second            (all nodes, half a second old)
+///         * calls there for each root let in    (learned over seconds)
+///         * time of one call there              (of the last few dozen calls)
+///
+/// The room of a service is given out by the priority of the routes, after a
+/// small assured share for each, and a route gets the least of what the
+/// services of its chain allow. The wanted slots do not depend on the share in
+/// force, so the result does not swing with the time that a chain takes. Every
+/// node works from the same figures and comes to the same shares.
 ///
 /// Patterns answered: a surge that asks for two to three times what a deep,
 /// shared service can do; a service that turns 5 to 12 times slower.
 namespace almondlink::control {
 
-/// What one service has and is asked for, over all its targets.
-struct ServiceRoom {
-  double slots = 0;
-  /// Requests that wait there, in slots times milliseconds of work.
-  double backlog_slot_ms = 0;
+/// Root requests of one route on one node, or on all.
+struct RootRate {
+  std::uint32_t route = 0;
+  double offered_per_s = 0;
+  double let_in_per_s = 0;
+};
+
+/// One target of a service.
+struct TargetRoom {
+  std::uint32_t slots = 0;
+  std::uint32_t waiting = 0;
+  /// Mean time of a call there; 0 if unknown.
+  double work_ms = 0;
   std::vector<RouteDemand> demand;
 };
 
+/// What the targets of one service told.
+struct ServiceRoom {
+  std::string service;
+  std::vector<TargetRoom> targets;
+};
+
 /// Constants of the admission.
 struct ChainRules {
   /// Part of the slots that is planned for: what is left takes the swings of
   /// arrivals within a window, so that calls rarely wait.
-  double planned_share = 0.92;
+  double planned_share = 0.94;
   /// Time within which what waits is to be worked off, in milliseconds.
   double drain_ms = 500;
   /// Share of a route's requests that is let in whatever the others want, so
   /// that no kind of request is shut out.
   double assured_share = 0.1;
-  /// Part of the way to the new share that one step goes, down and up: down
-  /// faster, since too much that is let in is wasted work.
-  double step_down = 0.5;
-  double step_up = 0.25;
+  /// Part of the way to the new share that one step goes.
+  double step = 0.5;
 };
 
 /// Share of one route's root requests that is let in.
 struct RouteShare {
   std::uint32_t priority = 0;
   double share = 1;
-  /// The share as the calls now seen at the services were let in: an average
-  /// over the time that a chain takes.
-  double seen_share = 1;
+  /// Root requests on this node.
+  RateMeter offered;
+  RateMeter let_in;
+  /// The service that binds the share; empty if none does.
+  std::string bound_by;
 };
 
 /// State of one node's admission. Plain data; one thread at a time.
 struct ChainAdmission {
   std::map<std::uint32_t, RouteShare> routes;
+  /// Calls at a service for each root request of a route.
+  std::map<std::pair<std::string, std::uint32_t>, double> calls_per_root;
   Millis updated;
 };
 
-/// Works the shares out anew from what the services told. `peer_shares`: the
-/// mean share of each route over the other nodes, which keeps nodes together.
-void UpdateShares(const ChainRules& rules,
-                  Millis now,
-                  const std::vector<ServiceRoom>& services,
-                  const std::map<std::uint32_t, double>& peer_shares,
-                  ChainAdmission& admission);
-
-/// Whether one root request is let in; `draw` is uniform in 0 to 1.
-bool IsLetIn(std::uint32_t route, double draw, const ChainAdmission& admission);
+/// Notes a root request and decides it; `draw` is uniform in 0 to 1.
+bool LetIn(std::uint32_t route,
+           std::uint32_t priority,
+           double draw,
+           ChainAdmission& admission);
 
 /// The share of `route` in force, 1 if nothing binds it.
 double ShareOf(std::uint32_t route, const ChainAdmission& admission);
 
-/// Makes `route` known with its priority.
-void NoteRoute(std::uint32_t route,
-               std::uint32_t priority,
-               ChainAdmission& admission);
+/// Closes the window of this node's rates; call before OwnRates and
+/// UpdateShares, every 100 ms or so.
+void UpdateRootRates(Millis now, ChainAdmission& admission);
+
+/// Rates of this node, to be told to the others.
+std::vector<RootRate> OwnRates(const ChainAdmission& admission);
+
+/// Works the shares out anew. `roots`: sums over all nodes.
+void UpdateShares(const ChainRules& rules,
+                  const std::vector<ServiceRoom>& services,
+                  const std::map<std::uint32_t, RootRate>& roots,
+                  ChainAdmission& admission);
 
 }  // namespace almondlink::control
 
--- a/libs/control/include/almondlink/control/demand_meter.h
+++ b/libs/control/include/almondlink/control/demand_meter.h
@@ -7,33 +7,46 @@
 
 #include "almondlink/base/clock.h"
 
-/// How much of a target its callers ask for, whether or not it has the room.
+/// What is asked of a target, by the root route that the calls were made for:
+/// load is refused at the root, so that is where it has to be told apart.
 ///
-/// By Little's law arrivals per second times the time that one request takes
-/// is the number of slots wanted. It is counted by the root route that the
-/// calls were made for, since that is where load can be refused before it
-/// costs anything. What is in use would tell less: it stops at the number of
-/// slots however much more is asked for.
+/// Arrivals and the time of one call are kept apart. How many calls a root
+/// request leads to is structure and changes with a release of software, so
+/// arrivals are averaged over seconds; how long a call takes changes when a
+/// target turns slow, so it follows the last few dozen calls.
 namespace almondlink::control {
 
-/// Slots wanted at one service by the requests of one root route.
+/// Calls of one root route at one target.
 struct RouteDemand {
   std::uint32_t route = 0;
-  double slots = 0;
+  double calls_per_s = 0;
+  double work_ms = 0;
 };
 
+/// A rate that is averaged over a time that is given at each update.
+struct RateMeter {
+  std::uint32_t events = 0;
+  double per_s = 0;
+};
+
+/// Closes a window of `span_ms`; `memory_ms` is the time constant.
+void UpdateRate(double span_ms, double memory_ms, RateMeter& meter);
+
+/// Time constant of the rates whose ratio is the number of calls for each root
+/// request. Both sides use it, so that a change of load moves both alike.
+constexpr double kStructureMemoryMs = 3000;
+
 /// State of one target's meter. Plain data; one thread at a time.
 struct DemandMeter {
   struct PerRoute {
-    std::uint32_t arrivals = 0;
-    double rate_per_ms = 0;
+    RateMeter arrivals;
     double work_ms = 0;
   };
   std::map<std::uint32_t, PerRoute> routes;
   Millis window_start;
 };
 
-/// Notes one request that arrived for `route`, admitted or not.
+/// Notes one request that arrived for `route`, whatever becomes of it.
 void NoteDemand(std::uint32_t route, DemandMeter& meter);
 
 /// Notes how long the target worked for one request of `route`.
@@ -43,7 +56,7 @@
 /// forgotten after a while.
 void UpdateDemand(Millis now, DemandMeter& meter);
 
-/// Slots wanted now, by route; routes that want next to nothing are left out.
+/// What is asked now, by route; routes that ask next to nothing are left out.
 std::vector<RouteDemand> DemandOf(const DemandMeter& meter);
 
 /// Mean time of one request in milliseconds over all routes, by their rates; 0
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -1,143 +1,276 @@
 #include "almondlink/control/chain_admission.h"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 namespace almondlink::control {
 
 namespace {
 
-/// Time from the admission of a root request to the arrival of its last calls
-/// at the deepest service, together with the meter's own memory: 0.1 to 0.3 s
-/// of calls one after the other and 0.3 s.
-constexpr double kSeenMemoryMs = 400;
-/// Demand is scaled up by the share let in; below this the result says little.
-constexpr double kLeastSeen = 0.04;
+/// Time constant of the offered rate: short enough to follow a surge within
+/// half a second, long enough that the chance of arrivals does not move it.
+constexpr double kOfferedMemoryMs = 400;
+/// Root requests per second below which the number of calls for each is not
+/// learned: the ratio would be chance.
+constexpr double kLeastToLearn = 1.0;
 /// A share this near to 1 is 1.
 constexpr double kWhole = 0.995;
-/// Weight of the peers' mean in the share that is stepped from.
-constexpr double kPeerWeight = 0.5;
+constexpr double kForgottenPerSecond = 0.01;
+/// Slots below which a service has none.
+constexpr double kLeastRoom = 1e-3;
+constexpr double kMillisPerSecond = 1000;
+/// Most that a target counts for by being faster than the mean.
+constexpr double kMostSpeed = 2.0;
 
-/// Demand of one route if all of it were let in.
-struct WholeDemand {
+/// Slots that one route wants at one service if all of it were let in.
+struct Wanted {
   std::uint32_t route = 0;
   std::uint32_t priority = 0;
   double slots = 0;
   double granted = 0;
 };
 
-std::vector<WholeDemand> WholeDemandOf(const ServiceRoom& service,
-                                       const ChainAdmission& admission) {
-  std::vector<WholeDemand> whole;
-  for (const RouteDemand& demand : service.demand) {
-    const auto known = admission.routes.find(demand.route);
-    WholeDemand entry;
-    entry.route = demand.route;
-    entry.slots = demand.slots;
-    if (known != admission.routes.end()) {
-      entry.priority = known->second.priority;
-      entry.slots /= std::max(kLeastSeen, known->second.seen_share);
+/// Calls of each route at a service and the mean time of one.
+struct ServiceDemand {
+  std::map<std::uint32_t, RouteDemand> routes;
+  double mean_work_ms = 0;
+};
+
+ServiceDemand SumOf(const ServiceRoom& service) {
+  ServiceDemand sum;
+  double calls = 0;
+  double work = 0;
+  for (const TargetRoom& target : service.targets) {
+    for (const RouteDemand& demand : target.demand) {
+      RouteDemand& total = sum.routes[demand.route];
+      total.route = demand.route;
+      total.calls_per_s += demand.calls_per_s;
+      // Summed for now, divided below.
+      total.work_ms += demand.calls_per_s * demand.work_ms;
+      calls += demand.calls_per_s;
+      work += demand.calls_per_s * demand.work_ms;
     }
-    whole.push_back(entry);
   }
-  std::sort(whole.begin(), whole.end(),
-            [](const WholeDemand& a, const WholeDemand& b) {
-              return a.priority < b.priority;
-            });
-  return whole;
+  for (auto& [route, total] : sum.routes) {
+    total.work_ms /= std::max(kForgottenPerSecond, total.calls_per_s);
+  }
+  sum.mean_work_ms = calls > 0 ? work / calls : 0;
+  return sum;
+}
+
+/// Slots in terms of the mean call: a target that turned slow counts for less.
+double RoomOf(const ChainRules& rules,
+              const ServiceRoom& service,
+              double mean_work_ms) {
+  double room = 0;
+  for (const TargetRoom& target : service.targets) {
+    const bool is_known = target.work_ms > 0 && mean_work_ms > 0;
+    const double speed =
+        is_known ? std::min(kMostSpeed, mean_work_ms / target.work_ms) : 1;
+    const double backlog = target.waiting * mean_work_ms / rules.drain_ms;
+    room += target.slots * rules.planned_share * speed - backlog;
+  }
+  return std::max(0.0, room);
+}
+
+/// Calls at `service` for each root of the route; learned here.
+double CallsPerRoot(const std::string& service,
+                    const RouteDemand& demand,
+                    const RootRate& roots,
+                    ChainAdmission& admission) {
+  const std::pair<std::string, std::uint32_t> key{service, demand.route};
+  const auto known = admission.calls_per_root.find(key);
+  if (roots.let_in_per_s < kLeastToLearn) {
+    return known == admission.calls_per_root.end() ? 0 : known->second;
+  }
+  const double seen = demand.calls_per_s / roots.let_in_per_s;
+  admission.calls_per_root[key] = seen;
+  return seen;
 }
 
 /// Grants the assured shares first, then by priority; routes of one priority
 /// get the same part of what they want.
-void Grant(const ChainRules& rules,
-           double room,
-           std::vector<WholeDemand>& whole) {
+void Grant(const ChainRules& rules, double room, std::vector<Wanted>& all) {
+  std::sort(all.begin(), all.end(), [](const Wanted& a, const Wanted& b) {
+    return a.priority < b.priority;
+  });
   double wanted = 0;
-  for (const WholeDemand& entry : whole) {
+  for (const Wanted& entry : all) {
     wanted += entry.slots;
   }
   const double served = wanted > 0 ? std::min(1.0, room / wanted) : 1;
   const double assured = std::min(rules.assured_share, served);
-  for (WholeDemand& entry : whole) {
+  for (Wanted& entry : all) {
     entry.granted = entry.slots * assured;
     room -= entry.granted;
   }
-  std::size_t first = 0;
-  while (first < whole.size()) {
-    std::size_t end = first;
+  for (auto first = all.begin(); first != all.end();) {
+    const auto end = std::find_if(first, all.end(), [&](const Wanted& entry) {
+      return entry.priority != first->priority;
+    });
     double missing = 0;
-    while (end < whole.size() &&
-           whole[end].priority == whole[first].priority) {
-      missing += whole[end].slots - whole[end].granted;
-      ++end;
+    for (auto entry = first; entry != end; ++entry) {
+      missing += entry->slots - entry->granted;
     }
     const double part =
         missing > 0 ? std::clamp(room / missing, 0.0, 1.0) : 1.0;
-    for (std::size_t i = first; i < end; ++i) {
-      whole[i].granted += part * (whole[i].slots - whole[i].granted);
+    for (auto entry = first; entry != end; ++entry) {
+      entry->granted += part * (entry->slots - entry->granted);
     }
     room = std::max(0.0, room - missing * part);
     first = end;
   }
 }
 
-}  // namespace
+/// The share that fits, and the service that makes it so small.
+struct Fit {
+  double share = 1;
+  std::string bound_by;
+};
+using Fits = std::map<std::uint32_t, Fit>;
 
-void NoteRoute(std::uint32_t route,
-               std::uint32_t priority,
-               ChainAdmission& admission) {
-  admission.routes[route].priority = priority;
+/// One service with its room and what is wanted there.
+struct Contest {
+  const std::string* service = nullptr;
+  double room = 0;
+  std::vector<Wanted> all;
+  bool is_settled = false;
+};
+
+Contest ContestOf(const ChainRules& rules,
+                  const ServiceRoom& service,
+                  const std::map<std::uint32_t, RootRate>& roots,
+                  ChainAdmission& admission) {
+  const ServiceDemand demand = SumOf(service);
+  Contest contest;
+  contest.service = &service.service;
+  contest.room = RoomOf(rules, service, demand.mean_work_ms);
+  for (const auto& [route, calls] : demand.routes) {
+    const auto root = roots.find(route);
+    const auto known = admission.routes.find(route);
+    Wanted wanted;
+    wanted.route = route;
+    if (root == roots.end() || known == admission.routes.end()) {
+      // Calls whose root is not known here take their room first.
+      wanted.slots = calls.calls_per_s * calls.work_ms / kMillisPerSecond;
+    } else {
+      wanted.priority = known->second.priority;
+      wanted.slots =
+          root->second.offered_per_s * calls.work_ms / kMillisPerSecond *
+          CallsPerRoot(service.service, calls, root->second, admission);
+    }
+    contest.all.push_back(wanted);
+  }
+  return contest;
 }
 
+/// Wanted slots over room, with the shares that other services already bind.
+double PressureOf(const Contest& contest, Fits& fits) {
+  double wanted = 0;
+  for (const Wanted& entry : contest.all) {
+    wanted += entry.slots * fits[entry.route].share;
+  }
+  return wanted <= 0 ? 0 : wanted / std::max(kLeastRoom, contest.room);
+}
+
+/// Settles the services one by one, the one with the most pressure first: what
+/// it does not let in is not wanted of the others any more.
+void Settle(const ChainRules& rules,
+            std::vector<Contest>& contests,
+            Fits& fits) {
+  for (std::size_t round = 0; round < contests.size(); ++round) {
+    Contest* tightest = nullptr;
+    double most = 1;
+    for (Contest& contest : contests) {
+      const double pressure = PressureOf(contest, fits);
+      if (!contest.is_settled && pressure > most) {
+        most = pressure;
+        tightest = &contest;
+      }
+    }
+    if (tightest == nullptr) {
+      return;
+    }
+    tightest->is_settled = true;
+    for (Wanted& entry : tightest->all) {
+      entry.slots *= fits[entry.route].share;
+    }
+    Grant(rules, tightest->room, tightest->all);
+    for (const Wanted& entry : tightest->all) {
+      if (entry.granted < entry.slots) {
+        Fit& fit = fits[entry.route];
+        fit.share *= entry.granted / entry.slots;
+        fit.bound_by = *tightest->service;
+      }
+    }
+  }
+}
+
+}  // namespace
+
 double ShareOf(std::uint32_t route, const ChainAdmission& admission) {
   const auto found = admission.routes.find(route);
   return found == admission.routes.end() ? 1.0 : found->second.share;
 }
 
-bool IsLetIn(std::uint32_t route,
-             double draw,
-             const ChainAdmission& admission) {
-  const double share = ShareOf(route, admission);
-  return share >= kWhole || draw < share;
+bool LetIn(std::uint32_t route,
+           std::uint32_t priority,
+           double draw,
+           ChainAdmission& admission) {
+  RouteShare& state = admission.routes[route];
+  state.priority = priority;
+  ++state.offered.events;
+  if (state.share < 1 && draw >= state.share) {
+    return false;
+  }
+  ++state.let_in.events;
+  return true;
+}
+
+void UpdateRootRates(Millis now, ChainAdmission& admission) {
+  const double span = static_cast<double>((now - admission.updated).count);
+  if (span <= 0) {
+    return;
+  }
+  admission.updated = now;
+  for (auto entry = admission.routes.begin();
+       entry != admission.routes.end();) {
+    RouteShare& route = entry->second;
+    UpdateRate(span, kOfferedMemoryMs, route.offered);
+    UpdateRate(span, kStructureMemoryMs, route.let_in);
+    const bool is_forgotten = route.share >= 1 &&
+                              route.offered.per_s < kForgottenPerSecond &&
+                              route.let_in.per_s < kForgottenPerSecond;
+    entry = is_forgotten ? admission.routes.erase(entry) : std::next(entry);
+  }
+}
+
+std::vector<RootRate> OwnRates(const ChainAdmission& admission) {
+  std::vector<RootRate> rates;
+  for (const auto& [route, state] : admission.routes) {
+    rates.push_back({route, state.offered.per_s, state.let_in.per_s});
+  }
+  return rates;
 }
 
 void UpdateShares(const ChainRules& rules,
-                  Millis now,
                   const std::vector<ServiceRoom>& services,
-                  const std::map<std::uint32_t, double>& peer_shares,
+                  const std::map<std::uint32_t, RootRate>& roots,
                   ChainAdmission& admission) {
-  const double span = static_cast<double>((now - admission.updated).count);
-  admission.updated = now;
-  const double keep = std::exp(-std::max(0.0, span) / kSeenMemoryMs);
-  std::map<std::uint32_t, double> fitting;
+  std::vector<Contest> contests;
+  contests.reserve(services.size());
   for (const ServiceRoom& service : services) {
-    std::vector<WholeDemand> whole = WholeDemandOf(service, admission);
-    const double room =
-        std::max(0.0, service.slots * rules.planned_share -
-                          service.backlog_slot_ms / rules.drain_ms);
-    Grant(rules, room, whole);
-    for (const WholeDemand& entry : whole) {
-      const double share = entry.slots > 0 ? entry.granted / entry.slots : 1;
-      const auto [place, is_new] = fitting.emplace(entry.route, share);
-      if (!is_new) {
-        place->second = std::min(place->second, share);
-      }
-    }
+    contests.push_back(ContestOf(rules, service, roots, admission));
   }
+  Fits fits;
+  Settle(rules, contests, fits);
   for (auto& [route, state] : admission.routes) {
-    const auto wanted = fitting.find(route);
-    const double goal = wanted == fitting.end() ? 1 : wanted->second;
-    const auto peers = peer_shares.find(route);
-    const double from = peers == peer_shares.end()
-                            ? state.share
-                            : (1 - kPeerWeight) * state.share +
-                                  kPeerWeight * peers->second;
-    const double step = goal < from ? rules.step_down : rules.step_up;
-    state.share = std::clamp(from + step * (goal - from), 0.0, 1.0);
+    const Fit& fit = fits[route];
+    state.share += rules.step * (fit.share - state.share);
+    state.bound_by = fit.bound_by;
     if (state.share >= kWhole) {
       state.share = 1;
     }
-    state.seen_share = keep * state.seen_share + (1 - keep) * state.share;
   }
 }
 
--- a/libs/control/src/demand_meter.cc
+++ b/libs/control/src/demand_meter.cc
@@ -2,32 +2,38 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace almondlink::control {
 
 namespace {
 
-/// Time constant of the arrival rate: about one chain of calls, so that a
-/// change of admission shows before the next but two decisions.
-constexpr double kRateMemoryMs = 300;
 /// Weight of one sample of work: 30 samples, some tens of milliseconds on a
 /// busy target, follow a target that turns slow.
 constexpr double kWorkWeight = 1.0 / 30;
-constexpr double kLeastSlots = 0.02;
-constexpr double kForgottenRate = 1e-6;
+constexpr double kLeastPerSecond = 0.05;
+constexpr double kMillisPerSecond = 1000;
 
 }  // namespace
 
+void UpdateRate(double span_ms, double memory_ms, RateMeter& meter) {
+  const double keep = std::exp(-span_ms / memory_ms);
+  const double rate = meter.events / span_ms * kMillisPerSecond;
+  meter.per_s = keep * meter.per_s + (1 - keep) * rate;
+  meter.events = 0;
+}
+
 void NoteDemand(std::uint32_t route, DemandMeter& meter) {
-  ++meter.routes[route].arrivals;
+  ++meter.routes[route].arrivals.events;
 }
 
 void NoteWork(std::uint32_t route, LatencyMs work, DemandMeter& meter) {
   DemandMeter::PerRoute& entry = meter.routes[route];
-  entry.work_ms = entry.work_ms == 0 ? work.count
-                                     : entry.work_ms +
-                                           kWorkWeight *
-                                               (work.count - entry.work_ms);
+  if (entry.work_ms == 0) {
+    entry.work_ms = work.count;
+    return;
+  }
+  entry.work_ms += kWorkWeight * (work.count - entry.work_ms);
 }
 
 void UpdateDemand(Millis now, DemandMeter& meter) {
@@ -36,13 +42,10 @@
     return;
   }
   meter.window_start = now;
-  const double keep = std::exp(-span / kRateMemoryMs);
   for (auto entry = meter.routes.begin(); entry != meter.routes.end();) {
-    DemandMeter::PerRoute& route = entry->second;
-    const double rate = route.arrivals / span;
-    route.rate_per_ms = keep * route.rate_per_ms + (1 - keep) * rate;
-    route.arrivals = 0;
-    const bool is_forgotten = route.rate_per_ms < kForgottenRate;
+    RateMeter& arrivals = entry->second.arrivals;
+    UpdateRate(span, kStructureMemoryMs, arrivals);
+    const bool is_forgotten = arrivals.per_s < kLeastPerSecond / 2;
     entry = is_forgotten ? meter.routes.erase(entry) : std::next(entry);
   }
 }
@@ -50,9 +53,8 @@
 std::vector<RouteDemand> DemandOf(const DemandMeter& meter) {
   std::vector<RouteDemand> demand;
   for (const auto& [route, entry] : meter.routes) {
-    const double slots = entry.rate_per_ms * entry.work_ms;
-    if (slots >= kLeastSlots) {
-      demand.push_back({route, slots});
+    if (entry.arrivals.per_s >= kLeastPerSecond) {
+      demand.push_back({route, entry.arrivals.per_s, entry.work_ms});
     }
   }
   return demand;
@@ -63,8 +65,8 @@
   double slots = 0;
   for (const auto& [route, entry] : meter.routes) {
     if (entry.work_ms > 0) {
-      rate += entry.rate_per_ms;
-      slots += entry.rate_per_ms * entry.work_ms;
+      rate += entry.arrivals.per_s;
+      slots += entry.arrivals.per_s * entry.work_ms;
     }
   }
   return rate > 0 ? slots / rate : 0;
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -98,6 +98,7 @@
   void Abandon(const CallPointer& call);
   void TimeOut(const CallPointer& call);
   control::RepeatRules Repeats() const;
+  void LogShares();
   double Draw();
   Millis RetryAfter(const Call& call);
 
@@ -111,6 +112,8 @@
   std::unordered_map<std::uint32_t, std::vector<double>> part_sums;
   std::unordered_map<std::uint32_t, CallPointer> calls;
   std::set<std::pair<std::int64_t, std::uint32_t>> ends;
+  /// Shares as the log last told them.
+  std::map<std::uint32_t, double> logged_shares;
   std::uint32_t last_id = 0;
   std::mt19937 random;
   EntryCounters counters;
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "almondlink/control/chain_admission.h"
 #include "almondlink/control/demand_meter.h"
 
 /// Messages on a link between two nodes.
@@ -65,12 +66,6 @@
   std::vector<InstanceRecord> remembered;
 };
 
-/// Share of a route's root requests that a node lets in.
-struct ShareEntry {
-  std::uint32_t route = 0;
-  double share = 1;
-};
-
 /// State of a node and of the target beside it.
 struct StateFrame {
   std::uint64_t policy_version = 0;
@@ -84,8 +79,10 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   double work_ms = 0;
+  /// Calls that a run of the target makes, on average.
+  double calls_per_run = 0;
   std::vector<control::RouteDemand> demand;
-  std::vector<ShareEntry> shares;
+  std::vector<control::RootRate> roots;
 };
 
 /// One attempt of a request, to the node beside its target.
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -89,6 +89,11 @@
   /// The run of the target that `request_id` belongs to, if it is running.
   std::optional<RunInfo> FindRun(const std::string& request_id) const;
 
+  /// A running request of the target made a call.
+  void NoteCallOfRun() { ++this->calls_of_runs.events; }
+  /// Calls that a run makes, on average over the last seconds.
+  double CallsPerRun() const;
+
   /// Time-outs and the meter; call every few tens of milliseconds.
   void Sweep(Millis now);
 
@@ -136,6 +141,8 @@
   std::unordered_map<std::string, CallPointer> runs;
   std::uint64_t arrivals = 0;
   std::uint32_t running = 0;
+  control::RateMeter calls_of_runs;
+  control::RateMeter started_runs;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
 constexpr double kWaitPerShed = 1500;
 constexpr double kMillisPerSecond = 1000;
 constexpr double kMicrosPerMilli = 1000;
+/// Change of a share that is worth a line in the log.
+constexpr double kLoggedStep = 0.1;
 
 std::string_view StatusText(std::uint32_t status) {
   switch (status) {
@@ -69,6 +72,10 @@
   std::uint32_t moves = 0;
   bool may_have_run = false;
   bool is_long = false;
+  /// What the target was chosen by, for the log.
+  std::uint32_t chosen_load = 0;
+  std::uint32_t chosen_slots = 0;
+  Millis chosen_age;
 };
 
 EntryCalls::EntryCalls(const RelaySettings& settings_in,
@@ -141,11 +148,13 @@
       call->route == nullptr ? nullptr : this->ChoosePart(*call->route);
   if (part == nullptr) {
     ++this->counters.no_route;
-    LogEvent(kEventNoRoute,
-             {{"request", call->head.id},
-              {"host", call->head.host},
-              {"path", call->head.target},
-              {"version", std::to_string(this->table->version)}});
+    if (WouldLog(kEventNoRoute)) {
+      LogEvent(kEventNoRoute,
+               {{"request", call->head.id},
+                {"host", call->head.host},
+                {"path", call->head.target},
+                {"version", std::to_string(this->table->version)}});
+    }
     exchange->Answer(kNotFound, StatusText(kNotFound), "", "");
     return;
   }
@@ -165,6 +174,7 @@
     const std::optional<RunInfo> run =
         this->served.FindRun(std::string(parent));
     if (run.has_value()) {
+      this->served.NoteCallOfRun();
       call->info = *run;
       call->deadline = std::min(call->deadline, run->deadline);
     }
@@ -172,8 +182,6 @@
         std::min<int>(call->info.depth + 1, 255));
   }
   if (call->is_root) {
-    control::NoteRoute(call->info.root_route, call->route->priority,
-                       this->admission);
     if (!this->AdmitRoot(call)) {
       return;
     }
@@ -191,17 +199,24 @@
 }
 
 bool EntryCalls::AdmitRoot(const CallPointer& call) {
-  if (control::IsLetIn(call->info.root_route, this->Draw(), this->admission)) {
+  if (control::LetIn(call->info.root_route, call->route->priority,
+                     this->Draw(), this->admission)) {
     return true;
   }
   ++this->counters.refused_at_entry;
   const Millis wait = this->RetryAfter(*call);
-  LogEvent(kEventRefusedAtEntry,
-           {{"request", call->head.id},
-            {"route", call->route->name},
-            {"share", std::to_string(control::ShareOf(call->info.root_route,
-                                                      this->admission))},
-            {"retry_after_ms", std::to_string(wait.count)}});
+  if (WouldLog(kEventRefusedAtEntry)) {
+    const double share =
+        control::ShareOf(call->info.root_route, this->admission);
+    LogEvent(kEventRefusedAtEntry,
+             {{"request", call->head.id},
+              {"route", call->route->name},
+              {"share", std::to_string(share)},
+              {"share_age_ms",
+               std::to_string((call->arrived - this->admission.updated).count)},
+              {"version", std::to_string(call->table->version)},
+              {"retry_after_ms", std::to_string(wait.count)}});
+  }
   this->RefuseNotRun(call, CallReason::kFull, wait);
   return false;
 }
@@ -278,6 +293,10 @@
   }
   call->peer = peer;
   call->tried.push_back(peer->node.name);
+  call->chosen_load = peer->told.running + peer->told.waiting +
+                      peer->sent_since;
+  call->chosen_slots = peer->told.slots;
+  call->chosen_age = now - peer->told_at;
   ++peer->sent_since;
   control::NoteSent(now, peer->health);
   CallFrame frame;
@@ -360,8 +379,21 @@
 
 void EntryCalls::PassAnswer(const CallPointer& call, const AnswerFrame& frame) {
   ++this->counters.answered;
-  this->added.Add(LatencyMs{PreciseNow().count - call->started.count -
-                            frame.work_us / kMicrosPerMilli});
+  const double took = PreciseNow().count - call->started.count;
+  this->added.Add(LatencyMs{took - frame.work_us / kMicrosPerMilli});
+  if (WouldLog(kEventAnswered)) {
+    LogEvent(kEventAnswered,
+             {{"request", call->head.id},
+              {"route", call->route->name},
+              {"target", call->peer->told.instance},
+              {"status", std::to_string(frame.status)},
+              {"attempts", std::to_string(call->attempts + 1)},
+              {"load", std::to_string(call->chosen_load)},
+              {"slots", std::to_string(call->chosen_slots)},
+              {"told_age_ms", std::to_string(call->chosen_age.count)},
+              {"version", std::to_string(call->table->version)},
+              {"took_ms", std::to_string(took)}});
+  }
   if (!frame.has_more) {
     const CallerExchangePointer exchange = call->exchange;
     this->Finish(call);
@@ -419,8 +451,15 @@
   if (!has_other) {
     return false;
   }
-  if (!control::TakeRepeat(this->Repeats(), now,
-                           this->allowances[call.service])) {
+  // A run that makes calls repeats them too, so it takes so much less of the
+  // bound that the sum over all services of a chain stays within it.
+  control::RepeatRules rules = this->Repeats();
+  double calls_per_run = 0;
+  for (const PeerPointer& peer : members) {
+    calls_per_run = std::max(calls_per_run, peer->told.calls_per_run);
+  }
+  rules.used_part /= 1 + calls_per_run;
+  if (!control::TakeRepeat(rules, now, this->allowances[call.service])) {
     return false;
   }
   ++this->counters.repeats;
@@ -447,12 +486,18 @@
     goes_on = (!may_have_run || call->route->is_repeatable) &&
               reason != CallReason::kTimeout && this->MayRepeat(now, *call);
   }
-  LogEvent(goes_on ? kEventSentAgain : kEventAttemptFailed,
-           {{"request", call->head.id},
-            {"after", ToString(reason)},
-            {"target", instance},
-            {"attempts", std::to_string(call->attempts)},
-            {"left_ms", std::to_string((call->deadline - now).count)}});
+  const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
+  if (WouldLog(event)) {
+    LogEvent(event, {{"request", call->head.id},
+                     {"after", ToString(reason)},
+                     {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
+                     {"target", instance},
+                     {"attempts", std::to_string(call->attempts)},
+                     {"load", std::to_string(call->chosen_load)},
+                     {"slots", std::to_string(call->chosen_slots)},
+                     {"told_age_ms", std::to_string(call->chosen_age.count)},
+                     {"left_ms", std::to_string((call->deadline - now).count)}});
+  }
   if (goes_on) {
     this->Attempt(call);
     return;
@@ -499,7 +544,9 @@
                               CallReason reason,
                               Millis wait) {
   ++this->counters.not_run;
-  if (call->id != 0 || call->route == nullptr) {
+  // A refusal at entry has a line of its own.
+  const bool is_new = call->id != 0 || call->route == nullptr;
+  if (is_new && WouldLog(kEventNotRun)) {
     LogEvent(kEventNotRun,
              {{"request", call->head.id},
               {"reason", call->table == nullptr ? "no-policy"
@@ -537,6 +584,13 @@
 
 void EntryCalls::Abandon(const CallPointer& call) {
   ++this->counters.cancelled;
+  if (WouldLog(kEventCallerLeft)) {
+    LogEvent(kEventCallerLeft,
+             {{"request", call->head.id},
+              {"route", call->route->name},
+              {"after_ms",
+               std::to_string((BootTimeNow() - call->arrived).count)}});
+  }
   this->DropAttempt(call);
   this->Finish(call);
 }
@@ -561,50 +615,57 @@
 }
 
 void EntryCalls::UpdateAdmission(Millis now) {
+  control::UpdateRootRates(now, this->admission);
   std::map<std::string, control::ServiceRoom> rooms;
-  std::map<std::uint32_t, std::pair<double, int>> sums;
+  std::map<std::uint32_t, control::RootRate> roots;
   for (const PeerPointer& peer : this->peers.All()) {
-    if (!peer->IsReachable() || peer->told.instance.empty()) {
+    if (!peer->IsReachable()) {
       continue;
     }
-    control::ServiceRoom& room = rooms[peer->told.service];
     const StateFrame& told = peer->told;
-    if (told.state == InstanceState::kReady && !told.is_stopping) {
-      room.slots += told.slots;
+    const std::vector<control::RootRate> rates =
+        peer->is_self ? control::OwnRates(this->admission) : told.roots;
+    for (const control::RootRate& rate : rates) {
+      control::RootRate& sum = roots[rate.route];
+      sum.offered_per_s += rate.offered_per_s;
+      sum.let_in_per_s += rate.let_in_per_s;
     }
-    room.backlog_slot_ms += told.waiting * told.work_ms;
-    for (const control::RouteDemand& demand : told.demand) {
-      const auto known = std::find_if(room.demand.begin(), room.demand.end(),
-                                      [&demand](const auto& entry) {
-                                        return entry.route == demand.route;
-                                      });
-      if (known == room.demand.end()) {
-        room.demand.push_back(demand);
-      } else {
-        known->slots += demand.slots;
-      }
-    }
-    if (!peer->is_self) {
-      for (const auto& [route, state] : this->admission.routes) {
-        double share = 1;
-        for (const ShareEntry& entry : told.shares) {
-          share = entry.route == route ? entry.share : share;
-        }
-        sums[route].first += share;
-        ++sums[route].second;
-      }
+    if (told.instance.empty()) {
+      continue;
     }
+    control::TargetRoom target;
+    const bool is_open =
+        told.state == InstanceState::kReady && !told.is_stopping;
+    target.slots = is_open ? told.slots : 0;
+    target.waiting = told.waiting;
+    target.work_ms = told.work_ms;
+    target.demand = told.demand;
+    control::ServiceRoom& room = rooms[told.service];
+    room.service = told.service;
+    room.targets.push_back(std::move(target));
   }
   std::vector<control::ServiceRoom> services;
   for (auto& [service, room] : rooms) {
     services.push_back(std::move(room));
   }
-  std::map<std::uint32_t, double> peer_shares;
-  for (const auto& [route, sum] : sums) {
-    peer_shares[route] = sum.first / sum.second;
-  }
-  control::UpdateShares(control::ChainRules(), now, services, peer_shares,
+  control::UpdateShares(control::ChainRules(), services, roots,
                         this->admission);
+  this->LogShares();
+}
+
+/// A line when a share has moved by a tenth since the last line.
+void EntryCalls::LogShares() {
+  for (const auto& [route, state] : this->admission.routes) {
+    const auto [logged, is_new] = this->logged_shares.emplace(route, 1.0);
+    if (std::abs(logged->second - state.share) >= kLoggedStep) {
+      logged->second = state.share;
+      LogEvent(kEventShareChanged,
+               {{"route", std::to_string(route)},
+                {"share", std::to_string(state.share)},
+                {"bound_by", state.bound_by},
+                {"offered_per_s", std::to_string(state.offered.per_s)}});
+    }
+  }
 }
 
 void EntryCalls::EndAll() {
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -204,15 +204,18 @@
   writer.Put(frame.running);
   writer.Put(frame.waiting);
   writer.PutFraction(frame.work_ms);
+  writer.PutFraction(frame.calls_per_run);
   writer.Put(static_cast<std::uint32_t>(frame.demand.size()));
   for (const control::RouteDemand& entry : frame.demand) {
     writer.Put(entry.route);
-    writer.PutFraction(entry.slots);
+    writer.PutFraction(entry.calls_per_s);
+    writer.PutFraction(entry.work_ms);
   }
-  writer.Put(static_cast<std::uint32_t>(frame.shares.size()));
-  for (const ShareEntry& entry : frame.shares) {
+  writer.Put(static_cast<std::uint32_t>(frame.roots.size()));
+  for (const control::RootRate& entry : frame.roots) {
     writer.Put(entry.route);
-    writer.PutFraction(entry.share);
+    writer.PutFraction(entry.offered_per_s);
+    writer.PutFraction(entry.let_in_per_s);
   }
 }
 
@@ -229,15 +232,18 @@
   in.Take(frame.running);
   in.Take(frame.waiting);
   frame.work_ms = in.TakeFraction();
+  frame.calls_per_run = in.TakeFraction();
   frame.demand.resize(in.TakeCount());
   for (control::RouteDemand& entry : frame.demand) {
     in.Take(entry.route);
-    entry.slots = in.TakeFraction();
+    entry.calls_per_s = in.TakeFraction();
+    entry.work_ms = in.TakeFraction();
   }
-  frame.shares.resize(in.TakeCount());
-  for (ShareEntry& entry : frame.shares) {
+  frame.roots.resize(in.TakeCount());
+  for (control::RootRate& entry : frame.roots) {
     in.Take(entry.route);
-    entry.share = in.TakeFraction();
+    entry.offered_per_s = in.TakeFraction();
+    entry.let_in_per_s = in.TakeFraction();
   }
   return in.IsGood();
 }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -122,8 +122,12 @@
   };
   events.on_failed = [this](const std::string& request_id, CallReason reason,
                             bool was_sent, Millis waited) {
+    if (!WouldLog(kEventTargetCallFailed)) {
+      return;
+    }
     LogEvent(kEventTargetCallFailed,
              {{"request", request_id},
+              {"instance", this->served.Ledger().current.id},
               {"reason", ToString(reason)},
               {"sent", was_sent ? "yes" : "no"},
               {"after_ms", std::to_string(waited.count)},
@@ -166,11 +170,8 @@
   state.waiting = this->served.Waiting();
   state.work_ms = control::MeanWorkMs(this->served.Meter());
   state.demand = control::DemandOf(this->served.Meter());
-  for (const auto& [route, share] : this->entry.Admission().routes) {
-    if (share.share < 1) {
-      state.shares.push_back({route, share.share});
-    }
-  }
+  state.calls_per_run = this->served.CallsPerRun();
+  state.roots = control::OwnRates(this->entry.Admission());
   return state;
 }
 
@@ -341,6 +342,7 @@
   if (this->ticks % kPeerTicks == 0) {
     this->peers.Tick(now);
     this->entry.UpdateAdmission(now);
+    FlushLog();
   }
   if (this->ticks % kIdleTicks == 0) {
     this->callers.Sweep(now);
@@ -415,6 +417,11 @@
               control::UsableSlots(this->served.Ledger()));
   WriteMetric(out, "almondlink_target_connects_total", "",
               static_cast<double>(this->served.Connects()));
+  const LogCounts lines = CountLogLines();
+  WriteMetric(out, "almondlink_log_lines_total", "outcome=\"written\"",
+              static_cast<double>(lines.written));
+  WriteMetric(out, "almondlink_log_lines_total", "outcome=\"left_out\"",
+              static_cast<double>(lines.left_out));
   WriteMetric(out, "almondlink_peers", "", this->peers.CountLive());
   WriteMetric(out, "almondlink_policy_version", "",
               static_cast<double>(this->PolicyVersion()));
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -153,6 +153,7 @@
 void ServedCalls::Dispatch(Millis now, const CallPointer& call) {
   call->is_running = true;
   ++this->running;
+  ++this->started_runs.events;
   call->dispatched = PreciseNow();
   this->runs[call->request_id] = call;
   TargetRequest request;
@@ -363,6 +364,13 @@
   return control::RememberLeft(BootTimeNow(), id, this->ledger);
 }
 
+double ServedCalls::CallsPerRun() const {
+  constexpr double kLeastRuns = 0.5;
+  return this->started_runs.per_s < kLeastRuns
+             ? 0
+             : this->calls_of_runs.per_s / this->started_runs.per_s;
+}
+
 std::optional<RunInfo> ServedCalls::FindRun(
     const std::string& request_id) const {
   const auto found = this->runs.find(request_id);
@@ -401,6 +409,11 @@
   this->pool.Sweep(now);
   this->Fill(now);
   if (now - this->meter.window_start >= Millis{100}) {
+    const double span =
+        static_cast<double>((now - this->meter.window_start).count);
+    control::UpdateRate(span, control::kStructureMemoryMs,
+                        this->calls_of_runs);
+    control::UpdateRate(span, control::kStructureMemoryMs, this->started_runs);
     control::UpdateDemand(now, this->meter);
   }
 }
