A part of the room goes to all routes alike

Ruled out: giving out room by worth per slot (the operator's priorities are the order that callers were promised). Change: a fifth of the room is split evenly, each route up to its want, the rest by priority.

--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -24,7 +24,7 @@
 ///         * time of one call there              (of the last few dozen calls)
 ///
 /// The room of a service is given out by the priority of the routes, after a
-/// small assured share for each, and a route gets the least of what the
+/// small part that all get alike, and a route gets the least of what the
 /// services of its chain allow. The wanted slots do not depend on the share in
 /// force, so the result does not swing with the time that a chain takes. Every
 /// node works from the same figures and comes to the same shares.
@@ -62,11 +62,10 @@
   double planned_share = 0.94;
   /// Time within which what waits is to be worked off, in milliseconds.
   double drain_ms = 500;
-  /// Share of a route's requests that is let in whatever the others want, so
-  /// that no kind of request is shut out.
-  double assured_share = 0.1;
-  /// Most of the room that all assured shares take together.
-  double assured_room = 0.15;
+  /// Part of the room that all routes get alike, whatever their priority: no
+  /// kind of request is shut out, and the most valued one still gets four
+  /// fifths and its own part of the rest.
+  double assured_room = 0.2;
   /// Part of the way to the new share that one step goes.
   double step = 0.5;
 };
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -88,26 +88,31 @@
   return seen;
 }
 
-/// Grants the assured shares first, then by priority; routes of one priority
-/// get the same part of what they want.
-void Grant(const ChainRules& rules, double room, std::vector<Wanted>& all) {
+/// Gives a part of the room to all alike, each up to what it wants: a kind that
+/// needs little is kept nearly whole by it, and callers that repeat at once,
+/// which multiply what their route wants, gain nothing.
+double GrantAssured(double assured, std::vector<Wanted>& all) {
   std::sort(all.begin(), all.end(), [](const Wanted& a, const Wanted& b) {
-    return a.priority < b.priority;
+    return a.slots < b.slots;
   });
-  double wanted = 0;
-  for (const Wanted& entry : all) {
-    wanted += entry.slots;
-  }
-  const double served = wanted > 0 ? std::min(1.0, room / wanted) : 1;
-  // Callers that repeat at once multiply what is wanted; that must not eat the
-  // room of others, so the assured shares are bounded by the room too.
-  const double assured = std::min(
-      {rules.assured_share, served,
-       wanted > 0 ? rules.assured_room * room / wanted : 1.0});
+  double left = assured;
+  std::size_t others = all.size();
   for (Wanted& entry : all) {
-    entry.granted = entry.slots * assured;
-    room -= entry.granted;
+    entry.granted =
+        std::min(entry.slots, left / static_cast<double>(others));
+    left -= entry.granted;
+    --others;
   }
+  return assured - left;
+}
+
+/// Grants the assured part first, then by priority; routes of one priority get
+/// the same part of what they want.
+void Grant(const ChainRules& rules, double room, std::vector<Wanted>& all) {
+  room -= GrantAssured(rules.assured_room * room, all);
+  std::sort(all.begin(), all.end(), [](const Wanted& a, const Wanted& b) {
+    return a.priority < b.priority;
+  });
   for (auto first = all.begin(); first != all.end();) {
     const auto end = std::find_if(first, all.end(), [&](const Wanted& entry) {
       return entry.priority != first->priority;
