Stand-ins for the store and an instance; process tests of the relay

A blocking fake server gives tests full power over the bytes: lost answers, second answers, bodies cut short, hangs, refusals; the store has a door for each node so that it can refuse one. Found by them and mended: a success without the target's mark held its request until the timeout (it was skipped like an answer of another request) and is now a failure at once; metrics carried their prefix twice. The blocking client's timeout never ended a read under Asio's blocking calls: tests that let a caller leave had waited for the answer instead; it does now.

--- a/libs/base/src/metrics.cc
+++ b/libs/base/src/metrics.cc
@@ -1,6 +1,7 @@
 #include "almondlink/base/metrics.h"
 
 // The quantile header uses std::ostringstream without including it.
+#include <iomanip>
 #include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
@@ -63,7 +64,8 @@
                  const std::string& labels,
                  double value) {
   std::ostringstream line;
-  line << "almondlink_" << name;
+  // Counters stay exact however large they grow.
+  line << std::setprecision(15) << "almondlink_" << name;
   if (!labels.empty()) {
     line << '{' << labels << '}';
   }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -393,7 +393,7 @@
   std::string out;
   const EntryCounters& counts = this->entry.Counters();
   const auto add = [&out](const char* outcome, std::uint64_t value) {
-    WriteMetric(out, "almondlink_requests_total",
+    WriteMetric(out, "requests_total",
                 std::string("outcome=\"") + outcome + "\"",
                 static_cast<double>(value));
   };
@@ -404,29 +404,37 @@
   add("timed_out", counts.timed_out);
   add("no_route", counts.no_route);
   add("cancelled", counts.cancelled);
-  WriteMetric(out, "almondlink_repeats_total", "",
+  WriteMetric(out, "repeats_total", "",
               static_cast<double>(counts.repeats));
-  WriteMetric(out, "almondlink_moved_total", "",
+  WriteMetric(out, "moved_total", "",
               static_cast<double>(counts.moved));
   const LatencySummary added = this->entry.AddedTime();
-  WriteMetric(out, "almondlink_added_ms", "quantile=\"0.5\"", added.p50);
-  WriteMetric(out, "almondlink_added_ms", "quantile=\"0.99\"", added.p99);
-  WriteMetric(out, "almondlink_target_running", "", this->served.Running());
-  WriteMetric(out, "almondlink_target_waiting", "", this->served.Waiting());
-  WriteMetric(out, "almondlink_target_slots", "",
+  WriteMetric(out, "added_ms", "quantile=\"0.5\"", added.p50);
+  WriteMetric(out, "added_ms", "quantile=\"0.99\"", added.p99);
+  WriteMetric(out, "target_running", "", this->served.Running());
+  WriteMetric(out, "target_waiting", "", this->served.Waiting());
+  WriteMetric(out, "target_slots", "",
               control::UsableSlots(this->served.Ledger()));
-  WriteMetric(out, "almondlink_target_connects_total", "",
+  WriteMetric(out, "target_connects_total", "",
               static_cast<double>(this->served.Connects()));
   const LogCounts lines = CountLogLines();
-  WriteMetric(out, "almondlink_log_lines_total", "outcome=\"written\"",
+  WriteMetric(out, "log_lines_total", "outcome=\"written\"",
               static_cast<double>(lines.written));
-  WriteMetric(out, "almondlink_log_lines_total", "outcome=\"left_out\"",
+  WriteMetric(out, "log_lines_total", "outcome=\"left_out\"",
               static_cast<double>(lines.left_out));
-  WriteMetric(out, "almondlink_peers", "", this->peers.CountLive());
-  WriteMetric(out, "almondlink_policy_version", "",
+  WriteMetric(out, "peers", "", this->peers.CountLive());
+  std::uint32_t open_targets = 0;
+  for (const PeerPointer& peer : this->peers.All()) {
+    open_targets += peer->IsReachable() &&
+                            peer->told.state == InstanceState::kReady
+                        ? 1
+                        : 0;
+  }
+  WriteMetric(out, "open_targets", "", open_targets);
+  WriteMetric(out, "policy_version", "",
               static_cast<double>(this->PolicyVersion()));
   for (const auto& [route, share] : this->entry.Admission().routes) {
-    WriteMetric(out, "almondlink_admitted_share",
+    WriteMetric(out, "admitted_share",
                 "route=\"" + std::to_string(route) + "\"", share.share);
   }
   return out;
--- a/libs/relay/src/target_connection.cc
+++ b/libs/relay/src/target_connection.cc
@@ -163,10 +163,13 @@
     const bool is_complete = step == ParseStep::kDone;
     const bool is_interim =
         is_complete && this->parser->head.status < kFirstSuccess;
-    const bool is_other = is_complete && !is_interim && !this->is_streaming &&
-                          !this->IsOfThisRequest();
-    if (is_interim || is_other) {
-      if (is_other && this->has_skipped) {
+    const bool is_strange = is_complete && !is_interim &&
+                            !this->is_streaming && !this->IsOfThisRequest();
+    const std::string& id = this->parser->head.id;
+    const bool is_other =
+        is_strange && !id.empty() && id != this->request.id;
+    if (is_interim || is_strange) {
+      if (is_strange && (!is_other || this->has_skipped)) {
         this->Fail(CallReason::kBadAnswer);
         return;
       }
--- a/standins/blocking_http.cc
+++ b/standins/blocking_http.cc
@@ -38,17 +38,36 @@
       return false;
     }
     this->socket->set_option(asio::ip::tcp::no_delay(true));
-    // Blocking reads end after the timeout.
-    const auto ms = this->timeout.count();
-    const timeval limit{static_cast<time_t>(ms / 1000),
-                        static_cast<suseconds_t>(ms % 1000 * 1000)};
-    setsockopt(this->socket->native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit,
-               sizeof(limit));
     this->buffer.clear();
     return true;
   }
 };
 
+/// Reads one answer; the read is ended after the timeout, which SO_RCVTIMEO would
+/// not do under Asio's blocking calls.
+void ReadWithin(std::chrono::milliseconds timeout,
+                asio::io_context& context,
+                asio::ip::tcp::socket& socket,
+                beast::flat_buffer& buffer,
+                http::response<http::string_body>& response,
+                beast::error_code& error) {
+  bool is_done = false;
+  http::async_read(socket, buffer, response,
+                   [&](beast::error_code failed, std::size_t) {
+                     is_done = true;
+                     error = failed;
+                   });
+  context.restart();
+  context.run_for(timeout);
+  if (!is_done) {
+    beast::error_code ignored;
+    socket.close(ignored);
+    context.restart();
+    context.run();
+    error = beast::error::timeout;
+  }
+}
+
 std::string PlainAnswer::Header(const std::string& lower_name) const {
   const auto found = this->headers.find(lower_name);
   return found == this->headers.end() ? std::string() : found->second;
@@ -89,7 +108,8 @@
   http::write(*this->impl->socket, message, error);
   http::response<http::string_body> response;
   if (!error) {
-    http::read(*this->impl->socket, this->impl->buffer, response, error);
+    ReadWithin(this->impl->timeout, this->impl->context, *this->impl->socket,
+               this->impl->buffer, response, error);
   }
   if (error) {
     this->impl->socket.reset();
--- /dev/null
+++ b/standins/fake_instance.cc
@@ -0,0 +1,195 @@
+#include "standins/fake_instance.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "standins/blocking_http.h"
+
+namespace almondlink::standins {
+
+namespace {
+
+constexpr std::chrono::milliseconds kReportEvery{150};
+constexpr std::chrono::milliseconds kLook{5};
+constexpr std::chrono::milliseconds kReportTimeout{1000};
+
+config::Endpoint Loopback(int port) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+}
+
+std::string Field(const FakeRequest& request, const char* name) {
+  return std::string(request[name]);
+}
+
+}  // namespace
+
+FakeInstance::FakeInstance(Spec spec_in)
+    : spec(std::move(spec_in)), work_ms(spec.work_ms) {
+  this->server = std::make_unique<FakeServer>(
+      this->spec.port,
+      [this](const FakeRequest& request, const IsGone& is_gone) {
+        return this->React(request, is_gone);
+      });
+  this->reporter = std::thread([this]() { this->ReportLoop(); });
+}
+
+FakeInstance::~FakeInstance() {
+  this->is_stopped = true;
+  this->reporter.join();
+  this->server.reset();
+}
+
+void FakeInstance::ReportLoop() {
+  while (!this->is_stopped) {
+    if (this->reports) {
+      this->Report("ready", ++this->sequence);
+    }
+    std::this_thread::sleep_for(kReportEvery);
+  }
+}
+
+unsigned FakeInstance::Report(const std::string& state,
+                              std::uint64_t number) {
+  BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
+  PlainRequest request;
+  request.method = "POST";
+  request.target = "/instances/" + this->spec.id + "/heartbeat";
+  request.headers["Content-Type"] = "application/json";
+  request.body =
+      nlohmann::json({{"service", this->spec.service},
+                      {"address",
+                       "127.0.0.1:" + std::to_string(this->spec.port)},
+                      {"zone", this->spec.zone},
+                      {"version", "v1"},
+                      {"capacity", this->spec.capacity},
+                      {"state", state},
+                      {"coldLeftMs", 0},
+                      {"sequence", number}})
+          .dump();
+  return client.Send(request).status;
+}
+
+unsigned FakeInstance::Leave() {
+  BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
+  PlainRequest request;
+  request.method = "POST";
+  request.target = "/instances/" + this->spec.id + "/leave";
+  return client.Send(request).status;
+}
+
+/// Calls of a request are made one after the other; the ids continue its id.
+bool FakeInstance::MakeCalls(const FakeRequest& request) {
+  int number = 0;
+  for (const auto& [host, path] : this->spec.calls) {
+    BlockingHttp client(Loopback(this->spec.caller_port),
+                        std::chrono::seconds(10));
+    PlainRequest call;
+    call.target = path;
+    call.headers["Host"] = host;
+    call.headers["Request-Id"] =
+        Field(request, "Request-Id") + "." + std::to_string(++number);
+    call.headers["Deadline-Ms"] = Field(request, "Deadline-Ms");
+    if (client.Send(call).status != 200) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Reaction FakeInstance::React(const FakeRequest& request,
+                             const IsGone& is_gone) {
+  const std::string id = Field(request, "Request-Id");
+  const std::string echo = "Request-Id: " + id + "\r\n";
+  const std::string seal = echo + "Response-Seal: " + this->spec.id + "\r\n";
+  Reaction reaction;
+  if (Field(request, "Target-Instance") != this->spec.id) {
+    reaction.bytes =
+        MakeAnswer(421, "Instance-Id: " + this->spec.id + "\r\n", "");
+    return reaction;
+  }
+  const InstanceFault now = this->fault;
+  if (now == InstanceFault::kShed) {
+    reaction.bytes = MakeAnswer(503, "Not-Executed: 1\r\n", "");
+    return reaction;
+  }
+  SeenRequest run;
+  run.id = id;
+  run.method = std::string(request.method_string());
+  run.target = std::string(request.target());
+  run.caller_service = Field(request, "Caller-Service");
+  run.body = request.body();
+  run.left_ms = std::atoll(Field(request, "Deadline-Ms").c_str());
+  run.at = std::chrono::steady_clock::now();
+  std::size_t place = 0;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    place = this->seen.size();
+    this->seen.push_back(run);
+  }
+  const int running = ++this->at_once;
+  this->most_at_once = std::max<int>(this->most_at_once, running);
+  if (now == InstanceFault::kHang) {
+    --this->at_once;
+    reaction.hangs = true;
+    return reaction;
+  }
+  const auto until =
+      run.at + std::chrono::milliseconds(this->work_ms.load());
+  while (std::chrono::steady_clock::now() < until) {
+    if (is_gone()) {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->seen[place].was_dropped = true;
+      break;
+    }
+    std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(
+        kLook, until - std::chrono::steady_clock::now()));
+  }
+  const bool is_good = this->MakeCalls(request);
+  --this->at_once;
+  const std::string body(static_cast<std::size_t>(this->spec.body_size), 'b');
+  if (!is_good) {
+    reaction.bytes = MakeAnswer(500, seal, "a call failed");
+    return reaction;
+  }
+  reaction.bytes = MakeAnswer(200, seal, body);
+  switch (now) {
+    case InstanceFault::kLoseAnswer:
+      reaction.bytes.clear();
+      reaction.resets = true;
+      break;
+    case InstanceFault::kCutBody:
+      reaction.bytes.resize(reaction.bytes.size() - 5);
+      reaction.closes = true;
+      break;
+    case InstanceFault::kAnswerTwice:
+      reaction.bytes += reaction.bytes;
+      break;
+    case InstanceFault::kUnframed:
+      reaction.bytes = "HTTP/1.1 200 OK\r\n" + seal +
+                       "Connection: close\r\n\r\n" + body;
+      reaction.closes = true;
+      break;
+    case InstanceFault::kNoSeal:
+      reaction.bytes = MakeAnswer(200, echo, body);
+      break;
+    default:
+      break;
+  }
+  return reaction;
+}
+
+std::vector<SeenRequest> FakeInstance::Seen() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->seen;
+}
+
+int FakeInstance::RunsOf(const std::string& id) {
+  int runs = 0;
+  for (const SeenRequest& run : this->Seen()) {
+    runs += run.id == id ? 1 : 0;
+  }
+  return runs;
+}
+
+}  // namespace almondlink::standins
--- /dev/null
+++ b/standins/fake_instance.h
@@ -0,0 +1,107 @@
+#ifndef ALMONDLINK_STANDINS_FAKE_INSTANCE_H_
+#define ALMONDLINK_STANDINS_FAKE_INSTANCE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standins/fake_server.h"
+
+namespace almondlink::standins {
+
+/// What an instance does to a request besides running it.
+enum class InstanceFault {
+  kNone,
+  /// Answers that it did not run it.
+  kShed,
+  /// Runs it and resets the connection.
+  kLoseAnswer,
+  /// Runs it and ends the answer before its length.
+  kCutBody,
+  /// Runs it and sends a second answer after the first.
+  kAnswerTwice,
+  /// Answers without a length, by closing.
+  kUnframed,
+  /// Never answers, nor anything else on that connection.
+  kHang,
+  /// Answers a success without its own mark.
+  kNoSeal,
+};
+
+/// One request as the instance saw it.
+struct SeenRequest {
+  std::string id;
+  std::string method;
+  std::string target;
+  std::string caller_service;
+  std::string body;
+  std::int64_t left_ms = 0;
+  std::chrono::steady_clock::time_point at;
+  /// The caller closed the connection before the work was done.
+  bool was_dropped = false;
+};
+
+/// A stand-in for an application instance of the platform: runs requests,
+/// makes calls, and reports itself to the node beside it. Thread safe.
+class FakeInstance {
+ public:
+  struct Spec {
+    std::string id;
+    std::string service;
+    std::string zone = "zone-a";
+    int port = 0;
+    /// Ports of the node beside it.
+    int report_port = 0;
+    int caller_port = 0;
+    int capacity = 16;
+    int work_ms = 1;
+    int body_size = 20;
+    /// Host and path of the calls that each request makes, in order.
+    std::vector<std::pair<std::string, std::string>> calls;
+  };
+
+  explicit FakeInstance(Spec spec);
+  ~FakeInstance();
+  FakeInstance(const FakeInstance&) = delete;
+  FakeInstance& operator=(const FakeInstance&) = delete;
+
+  void SetFault(InstanceFault fault) { this->fault = fault; }
+  void SetWork(int milliseconds) { this->work_ms = milliseconds; }
+  /// Reports go on as ready, draining, or stop.
+  void SetReports(bool are_on) { this->reports = are_on; }
+  /// Sends one report now; the status of the answer, 0 if there was none.
+  unsigned Report(const std::string& state, std::uint64_t sequence);
+  unsigned Leave();
+
+  std::vector<SeenRequest> Seen();
+  /// Times that requests with this id ran.
+  int RunsOf(const std::string& id);
+  int MostAtOnce() const { return this->most_at_once; }
+
+ private:
+  Reaction React(const FakeRequest& request, const IsGone& is_gone);
+  bool MakeCalls(const FakeRequest& request);
+  void ReportLoop();
+
+  Spec spec;
+  std::atomic<InstanceFault> fault{InstanceFault::kNone};
+  std::atomic<int> work_ms;
+  std::atomic<bool> reports{true};
+  std::atomic<bool> is_stopped{false};
+  std::atomic<int> at_once{0};
+  std::atomic<int> most_at_once{0};
+  std::atomic<std::uint64_t> sequence{0};
+  std::mutex mutex;
+  std::vector<SeenRequest> seen;
+  std::unique_ptr<FakeServer> server;
+  std::thread reporter;
+};
+
+}  // namespace almondlink::standins
+
+#endif  // ALMONDLINK_STANDINS_FAKE_INSTANCE_H_
--- /dev/null
+++ b/standins/fake_server.h
@@ -0,0 +1,70 @@
+#ifndef ALMONDLINK_STANDINS_FAKE_SERVER_H_
+#define ALMONDLINK_STANDINS_FAKE_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace almondlink::standins {
+
+using FakeRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+/// What a fake server does with one request.
+struct Reaction {
+  /// Written as it is; empty writes nothing.
+  std::string bytes;
+  /// Close afterwards; with `resets` by a reset instead of a proper end.
+  bool closes = false;
+  bool resets = false;
+  /// Keep the connection open and answer nothing on it any more.
+  bool hangs = false;
+};
+
+/// Tells a handler whether its caller has closed the connection.
+using IsGone = std::function<bool()>;
+using FakeHandler =
+    std::function<Reaction(const FakeRequest& request, const IsGone& is_gone)>;
+
+/// A blocking HTTP/1.1 server for stand-ins: a thread for each connection, and
+/// full power over the bytes. The handler is called by many threads.
+class FakeServer {
+ public:
+  FakeServer(int port, FakeHandler handler);
+  /// Closes all connections and joins the threads.
+  ~FakeServer();
+  FakeServer(const FakeServer&) = delete;
+  FakeServer& operator=(const FakeServer&) = delete;
+
+ private:
+  struct Connection;
+  void Accept();
+  void Serve(Connection& connection);
+
+  FakeHandler handler;
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::mutex mutex;
+  std::list<Connection> connections;
+  bool is_stopped = false;
+  std::thread thread;
+};
+
+/// An answer with a length. `fields`: further lines with their ends.
+std::string MakeAnswer(unsigned status,
+                       const std::string& fields,
+                       const std::string& body);
+
+/// Value of `name` in the query of a target; empty if it is not there.
+std::string QueryValue(const std::string& target, const std::string& name);
+
+}  // namespace almondlink::standins
+
+#endif  // ALMONDLINK_STANDINS_FAKE_SERVER_H_
--- /dev/null
+++ b/test/process/relay_faults_test.cc
@@ -0,0 +1,157 @@
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "test/support/relay_cluster.h"
+
+/// Targets that fail: whole answers only, never another request's, one run of
+/// what may run once, and true refusals.
+namespace almondlink::test {
+namespace {
+
+using standins::FakeInstance;
+using standins::InstanceFault;
+using standins::PlainAnswer;
+
+FakeInstance::Spec Spec(const std::string& id, const std::string& service) {
+  FakeInstance::Spec spec;
+  spec.id = id;
+  spec.service = service;
+  return spec;
+}
+
+const std::vector<RouteSpec> kRoutes = {
+    {"stock", "stock.example", "/stock/", "stock"},
+    {"pay", "stock.example", "/pay/", "stock", "unsafe"}};
+
+struct Pair {
+  RelayCluster cluster;
+  explicit Pair(int port, const std::string& name) : cluster(port, name) {
+    this->cluster.Add(Spec("i-a", "stock"));
+    this->cluster.Add(Spec("i-b", "stock"));
+    this->cluster.Add(Spec("i-front", "front"));
+    this->cluster.Configure(1, kRoutes);
+    this->cluster.WaitReady();
+  }
+  void SetFaults(InstanceFault fault) {
+    this->cluster.Instance(0).SetFault(fault);
+    this->cluster.Instance(1).SetFault(fault);
+  }
+  int RunsOf(const std::string& id) {
+    return this->cluster.Instance(0).RunsOf(id) +
+           this->cluster.Instance(1).RunsOf(id);
+  }
+  PlainAnswer Get(const std::string& id) {
+    return this->cluster.Call(2, "stock.example", "/stock/1", id);
+  }
+  PlainAnswer Pay(const std::string& id) {
+    return this->cluster.Call(2, "stock.example", "/pay/1", id, "POST", "x");
+  }
+};
+
+TEST_CASE("a second answer never reaches another request") {
+  Pair pair(24300, "twice");
+  pair.SetFaults(InstanceFault::kAnswerTwice);
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const PlainAnswer answer = pair.Get(id);
+    REQUIRE(answer.status == 200);
+    REQUIRE(answer.Header("request-id") == id);
+  }
+}
+
+TEST_CASE("an answer that is cut short is asked for again, or is a failure") {
+  Pair pair(24340, "cut");
+  pair.cluster.Instance(0).SetFault(InstanceFault::kCutBody);
+  int whole = 0;
+  for (int i = 0; i < 10; ++i) {
+    const PlainAnswer answer = pair.Get("g" + std::to_string(i));
+    whole += answer.status == 200 && answer.body.size() == 20 ? 1 : 0;
+  }
+  REQUIRE(whole == 10);
+  pair.SetFaults(InstanceFault::kCutBody);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    REQUIRE(pair.Pay(id).status == 502);
+    REQUIRE(pair.RunsOf(id) == 1);
+  }
+}
+
+TEST_CASE("what may run once is never sent again after a lost answer") {
+  Pair pair(24380, "lost");
+  pair.SetFaults(InstanceFault::kLoseAnswer);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    // The outcome is not known: nothing may be promised.
+    REQUIRE(pair.Pay(id).status == 502);
+    REQUIRE(pair.RunsOf(id) == 1);
+  }
+}
+
+TEST_CASE("what a target refuses is tried elsewhere, and a refusal is true") {
+  Pair pair(24420, "shed");
+  pair.cluster.Instance(0).SetFault(InstanceFault::kShed);
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(pair.Pay("e" + std::to_string(i)).status == 200);
+  }
+  pair.SetFaults(InstanceFault::kShed);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "n" + std::to_string(i);
+    const PlainAnswer answer = pair.Pay(id);
+    REQUIRE(answer.status == 503);
+    REQUIRE(std::stod(answer.Header("retry-after")) > 0);
+    REQUIRE(pair.RunsOf(id) == 0);
+  }
+}
+
+TEST_CASE("a success without the target's mark is not passed on") {
+  Pair pair(24460, "seal");
+  pair.SetFaults(InstanceFault::kNoSeal);
+  REQUIRE(pair.Get("a").status == 502);
+  REQUIRE(pair.Pay("b").status == 502);
+}
+
+TEST_CASE("a target that hangs costs its requests only their own time") {
+  Pair pair(24500, "hang");
+  pair.cluster.Instance(0).SetFault(InstanceFault::kHang);
+  int whole = 0;
+  for (int i = 0; i < 6; ++i) {
+    const PlainAnswer answer =
+        pair.cluster.Call(2, "stock.example", "/stock/1",
+                          "h" + std::to_string(i), "GET", "", 400);
+    whole += answer.status == 200 ? 1 : 0;
+    REQUIRE((answer.status == 200 || answer.status == 504));
+  }
+  REQUIRE(whole > 0);
+}
+
+TEST_CASE("an instance that crashed is passed over, and its node kept") {
+  Pair pair(24540, "crash");
+  pair.cluster.EndInstance(0);
+  int whole = 0;
+  for (int i = 0; i < 20; ++i) {
+    whole += pair.Get("c" + std::to_string(i)).status == 200 ? 1 : 0;
+  }
+  REQUIRE(whole == 20);
+}
+
+TEST_CASE("a node that is killed loses no request that may run again") {
+  Pair pair(24580, "kill");
+  pair.cluster.Instance(0).SetWork(300);
+  pair.cluster.Instance(1).SetWork(300);
+  std::atomic<int> whole{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&, i]() {
+      whole += pair.Get("k" + std::to_string(i)).status == 200 ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  pair.cluster.Node(0).Kill();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  REQUIRE(whole == 8);
+}
+
+}  // namespace
+}  // namespace almondlink::test
--- /dev/null
+++ b/test/process/relay_store_test.cc
@@ -0,0 +1,121 @@
+#include <catch2/catch.hpp>
+
+#include "test/support/relay_cluster.h"
+
+/// The platform's store away, refusing, losing answers and forgetting; the
+/// policy in force, and nodes that find each other.
+namespace almondlink::test {
+namespace {
+
+using standins::FakeInstance;
+using standins::StoreFault;
+
+FakeInstance::Spec Spec(const std::string& id, const std::string& service) {
+  FakeInstance::Spec spec;
+  spec.id = id;
+  spec.service = service;
+  return spec;
+}
+
+const RouteSpec kStock = {"stock", "stock.example", "/stock/", "stock"};
+const RouteSpec kFresh = {"fresh", "stock.example", "/fresh/", "stock"};
+
+unsigned FreshStatus(RelayCluster& cluster, int node) {
+  return cluster.Call(node, "stock.example", "/fresh/1", "f").status;
+}
+
+TEST_CASE("a node that the store refuses has the policy from the others") {
+  for (const StoreFault fault :
+       {StoreFault::kBusy, StoreFault::kSilent, StoreFault::kReset}) {
+    const int port = 24700 + 30 * static_cast<int>(fault);
+    RelayCluster cluster(port, "refused-" + std::to_string(port));
+    cluster.Add(Spec("i-a", "stock"));
+    cluster.Add(Spec("i-b", "stock"));
+    cluster.Configure(1, {kStock});
+    cluster.WaitReady();
+    cluster.Store().SetFault(cluster.Door(1), fault);
+    // The long poll that is open is answered once more; the next is refused.
+    cluster.Configure(2, {kStock});
+    REQUIRE(Soon([&]() {
+      return cluster.Metric(0, "almondlink_policy_version") == 2.0 &&
+             cluster.Metric(1, "almondlink_policy_version") == 2.0;
+    }));
+    cluster.Configure(5, {kStock, kFresh});
+    REQUIRE(Soon([&]() { return FreshStatus(cluster, 1) == 200; }));
+  }
+}
+
+TEST_CASE("a lost answer to a write is made good") {
+  RelayCluster cluster(24850, "lost-write");
+  cluster.Store().SetFaults(StoreFault::kNone);
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Store().SetFault(0, StoreFault::kLoseAnswers);
+  cluster.Add(Spec("i-b", "stock"));
+  cluster.Store().SetFault(1, StoreFault::kLoseAnswers);
+  cluster.Configure(1, {kStock});
+  // The record is there though its writer does not know.
+  REQUIRE(Soon([&]() {
+    return !cluster.Store().Newest("keyed.almondlink-nodes", "node-1").empty();
+  }));
+  cluster.Store().SetFaults(StoreFault::kNone);
+  cluster.WaitReady();
+  REQUIRE(cluster.Call(0, "stock.example", "/stock/1", "x").status == 200);
+}
+
+TEST_CASE("a store that forgets its history tells the newest all the same") {
+  RelayCluster cluster(24880, "compacted");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Configure(1, {kStock});
+  cluster.WaitReady();
+  cluster.Store().SetFaults(StoreFault::kBusy);
+  cluster.Configure(2, {kStock, kFresh});
+  cluster.Store().Compact("keyed.op");
+  cluster.Store().SetFaults(StoreFault::kNone);
+  REQUIRE(Soon([&]() { return FreshStatus(cluster, 0) == 200; }));
+}
+
+TEST_CASE("an older policy after a newer one changes nothing") {
+  RelayCluster cluster(24910, "older");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Configure(7, {kStock, kFresh});
+  cluster.WaitReady();
+  cluster.Configure(6, {kStock});
+  cluster.Store().Put("keyed.op", "config", "no configuration");
+  cluster.Configure(9, {kStock, kFresh});
+  REQUIRE(Soon([&]() {
+    return cluster.Metric(0, "almondlink_policy_version") == 9.0;
+  }));
+  REQUIRE(FreshStatus(cluster, 0) == 200);
+}
+
+TEST_CASE("a node that starts while the store is away is told by its peers") {
+  RelayCluster cluster(24940, "start-away");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Add(Spec("i-b", "stock"));
+  cluster.Configure(4, {kStock});
+  cluster.WaitReady();
+  cluster.Node(1).Kill();
+  cluster.Store().SetFaults(StoreFault::kBusy);
+  cluster.StartNode(1);
+  // The others still dial its address.
+  cluster.WaitReady();
+  REQUIRE(cluster.Call(1, "stock.example", "/stock/1", "x").status == 200);
+}
+
+TEST_CASE("the store is asked rarely while nothing changes") {
+  RelayCluster cluster(24970, "calm");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Configure(1, {kStock});
+  cluster.WaitReady();
+  const auto calls = [&]() {
+    return cluster.Store().Calls("/log-read") +
+           cluster.Store().Calls("/log-newest") +
+           cluster.Store().Calls("/log-append");
+  };
+  const std::uint64_t before = calls();
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  REQUIRE(calls() - before <= 1);
+}
+
+}  // namespace
+}  // namespace almondlink::test
--- /dev/null
+++ b/test/support/relay_cluster.cc
@@ -0,0 +1,197 @@
+#include "test/support/relay_cluster.h"
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+namespace almondlink::test {
+
+namespace {
+
+constexpr int kReadyPort = 1;
+constexpr int kReportPort = 2;
+constexpr int kPeerPort = 3;
+constexpr int kMetricsPort = 4;
+constexpr int kInstancePort = 5;
+constexpr int kStorePort = 6;
+
+std::string At(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+standins::PlainAnswer Get(int port, const std::string& path) {
+  standins::BlockingHttp client(
+      {"127.0.0.1", static_cast<std::uint16_t>(port)},
+      std::chrono::seconds(2));
+  standins::PlainRequest request;
+  request.target = path;
+  return client.Send(request);
+}
+
+}  // namespace
+
+std::string MakeConfig(std::uint64_t version,
+                       const std::vector<RouteSpec>& routes) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const RouteSpec& route : routes) {
+    nlohmann::json split;
+    for (const auto& [service, weight] : route.split) {
+      split.push_back({{"service", service}, {"weight", weight}});
+    }
+    const nlohmann::json service =
+        route.split.empty() ? nlohmann::json(route.service) : nlohmann::json();
+    rows.push_back({route.name, route.host, route.prefix, route.kind,
+                    route.timeout_ms, route.aim_ms, route.priority, split,
+                    route.attempts, service});
+  }
+  const nlohmann::json config = {
+      {"version", version},
+      {"routes",
+       {{"columns",
+         {"name", "hostname", "pathPrefix", "kind", "timeoutMs",
+          "targetLatencyMs", "priority", "split", "attempts", "service"}},
+        {"rows", rows}}},
+      {"services",
+       {{"columns", {"name", "healthPath", "maxConns", "protocol", "tls"}},
+        {"rows", nlohmann::json::array()}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 1048576},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}};
+  return config.dump();
+}
+
+RelayCluster::RelayCluster(int base_port_in, const std::string& name)
+    : base_port(base_port_in),
+      folder(std::string(ALMONDLINK_BUILD_DIR) + "/test/relay-" + name) {
+  std::filesystem::remove_all(this->folder);
+  std::filesystem::create_directories(this->folder);
+}
+
+RelayCluster::~RelayCluster() {
+  // Instances first: their calls end with the nodes still there.
+  for (Entry& entry : this->nodes) {
+    entry.instance.reset();
+  }
+}
+
+std::string RelayCluster::SettingsPath(int node) const {
+  return this->folder + "/node-" + std::to_string(node) + ".ini";
+}
+
+std::string RelayCluster::LogPath(int node) const {
+  return this->folder + "/node-" + std::to_string(node) + ".log";
+}
+
+void RelayCluster::WriteSettings(int node, const std::string& service) {
+  std::ofstream out(this->SettingsPath(node));
+  out << "[node]\nid = node-" << node << "\ndeployment = test\nzone = "
+      << this->nodes[Index(node)].zone
+      << "\ncaller_address = " << At(this->PortOf(node, 0))
+      << "\npeer_address = " << At(this->PortOf(node, kPeerPort))
+      << "\nadmin_address = " << At(this->PortOf(node, kReadyPort))
+      << "\n[target]\nservice = " << service
+      << "\naddress = " << At(this->PortOf(node, kInstancePort))
+      << "\n[log]\naddress = " << At(this->PortOf(node, kStorePort))
+      << "\n[relay]\nenabled = true\nreport_address = "
+      << At(this->PortOf(node, kReportPort))
+      << "\nmetrics_address = " << At(this->PortOf(node, kMetricsPort))
+      << "\ndrain = 2s\ngrace = 6s\nrepeat_fixed = 40\n"
+      << "[logging]\nlevel = info\n";
+}
+
+int RelayCluster::Add(standins::FakeInstance::Spec spec,
+                      const std::string& zone) {
+  const int node = static_cast<int>(this->nodes.size());
+  spec.zone = zone;
+  spec.port = this->PortOf(node, kInstancePort);
+  spec.report_port = this->PortOf(node, kReportPort);
+  spec.caller_port = this->PortOf(node, 0);
+  this->store.OpenDoor(this->PortOf(node, kStorePort));
+  Entry entry;
+  entry.spec = spec;
+  entry.zone = zone;
+  this->nodes.push_back(std::move(entry));
+  this->WriteSettings(node, spec.service);
+  this->StartNode(node);
+  this->nodes.back().instance =
+      std::make_unique<standins::FakeInstance>(std::move(spec));
+  return node;
+}
+
+void RelayCluster::StartNode(int node) {
+  this->nodes[Index(node)].process = std::make_unique<Process>(
+      std::vector<std::string>{
+          std::string(ALMONDLINK_BUILD_DIR) + "/almondlinkd/almondlinkd",
+          "--config", this->SettingsPath(node)},
+      this->LogPath(node));
+}
+
+void RelayCluster::Configure(std::uint64_t version,
+                             const std::vector<RouteSpec>& routes) {
+  this->store.Put("keyed.op", "config", MakeConfig(version, routes));
+}
+
+void RelayCluster::WaitReady() {
+  const auto all = static_cast<double>(this->nodes.size());
+  const bool is_ready = Soon([&]() {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      const int node = static_cast<int>(i);
+      const bool is_node_ready =
+          this->Ready(node).status == 200 &&
+          this->Metric(node, "almondlink_peers") == all &&
+          this->Metric(node, "almondlink_open_targets") == all;
+      if (!is_node_ready) {
+        return false;
+      }
+    }
+    return true;
+  });
+  if (!is_ready) {
+    throw std::runtime_error("the nodes did not become ready");
+  }
+}
+
+standins::PlainAnswer RelayCluster::Ready(int node) {
+  return Get(this->PortOf(node, kReadyPort), "/ready");
+}
+
+std::optional<double> RelayCluster::Metric(int node, const std::string& name) {
+  const std::string text =
+      Get(this->PortOf(node, kMetricsPort), "/metrics").body;
+  std::size_t line = 0;
+  while (line < text.size()) {
+    const std::size_t end = std::min(text.find('\n', line), text.size());
+    if (text.compare(line, name.size() + 1, name + " ") == 0) {
+      return std::stod(text.substr(line + name.size() + 1));
+    }
+    line = end + 1;
+  }
+  return std::nullopt;
+}
+
+standins::PlainAnswer RelayCluster::Call(int node,
+                                         const std::string& host,
+                                         const std::string& path,
+                                         const std::string& id,
+                                         const std::string& method,
+                                         const std::string& body,
+                                         int left_ms) {
+  standins::BlockingHttp client(
+      {"127.0.0.1", static_cast<std::uint16_t>(this->CallerPort(node))},
+      std::chrono::milliseconds(left_ms + 2000));
+  standins::PlainRequest request;
+  request.method = method;
+  request.target = path;
+  request.headers["Host"] = host;
+  request.headers["Request-Id"] = id;
+  request.headers["Deadline-Ms"] = std::to_string(left_ms);
+  request.headers["Caller-Service"] = "forged";
+  request.body = body;
+  return client.Send(request);
+}
+
+}  // namespace almondlink::test
--- /dev/null
+++ b/test/support/relay_cluster.h
@@ -0,0 +1,110 @@
+#ifndef ALMONDLINK_TEST_SUPPORT_RELAY_CLUSTER_H_
+#define ALMONDLINK_TEST_SUPPORT_RELAY_CLUSTER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "standins/blocking_http.h"
+#include "standins/fake_instance.h"
+#include "standins/fake_store.h"
+#include "test/support/process.h"
+
+namespace almondlink::test {
+
+/// One route of the policy that a test writes.
+struct RouteSpec {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  std::string service;
+  std::string kind = "safe";
+  int timeout_ms = 5000;
+  int aim_ms = 1000;
+  int priority = 1;
+  int attempts = 2;
+  /// `service:weight` pairs in place of the one service.
+  std::vector<std::pair<std::string, int>> split;
+};
+
+/// The operator's configuration with these routes.
+std::string MakeConfig(std::uint64_t version,
+                       const std::vector<RouteSpec>& routes);
+
+/// Relay nodes as processes, each with a stand-in instance beside it, and the
+/// stand-in store. Ports from `base_port` on, ten for each node.
+class RelayCluster {
+ public:
+  RelayCluster(int base_port, const std::string& name);
+  ~RelayCluster();
+
+  /// Adds a node and its instance; `spec` needs id and service, the ports are
+  /// filled in. Returns its number.
+  int Add(standins::FakeInstance::Spec spec, const std::string& zone = "zone-a");
+  void StartNode(int node);
+  Process& Node(int node) { return *this->nodes[Index(node)].process; }
+  standins::FakeInstance& Instance(int node) {
+    return *this->nodes[Index(node)].instance;
+  }
+  /// Ends the instance and its connections.
+  void EndInstance(int node) { this->nodes[Index(node)].instance.reset(); }
+  standins::FakeStore& Store() { return this->store; }
+  int Door(int node) const { return node; }
+
+  void Configure(std::uint64_t version, const std::vector<RouteSpec>& routes);
+  /// Waits until every node is ready, knows all others, and each instance has
+  /// been seen everywhere.
+  void WaitReady();
+
+  /// A request through the node's door for callers.
+  standins::PlainAnswer Call(int node,
+                             const std::string& host,
+                             const std::string& path,
+                             const std::string& id,
+                             const std::string& method = "GET",
+                             const std::string& body = "",
+                             int left_ms = 5000);
+  standins::PlainAnswer Ready(int node);
+  /// One figure of the metrics, or nothing; labels are part of the name.
+  std::optional<double> Metric(int node, const std::string& name);
+  int CallerPort(int node) const { return this->PortOf(node, 0); }
+
+  std::string SettingsPath(int node) const;
+  std::string LogPath(int node) const;
+  void WriteSettings(int node, const std::string& service);
+
+ private:
+  struct Entry {
+    standins::FakeInstance::Spec spec;
+    std::string zone;
+    std::unique_ptr<standins::FakeInstance> instance;
+    std::unique_ptr<Process> process;
+  };
+  static std::size_t Index(int node) { return static_cast<std::size_t>(node); }
+  int PortOf(int node, int offset) const {
+    return this->base_port + node * 10 + offset;
+  }
+
+  int base_port;
+  std::string folder;
+  standins::FakeStore store;
+  std::vector<Entry> nodes;
+};
+
+/// Looks every few milliseconds until `holds` or ten seconds have passed.
+template <typename Condition>
+bool Soon(const Condition& holds) {
+  for (int i = 0; i < 2000; ++i) {
+    if (holds()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return holds();
+}
+
+}  // namespace almondlink::test
+
+#endif  // ALMONDLINK_TEST_SUPPORT_RELAY_CLUSTER_H_
