--- a/almondlink/bundle_commands.cc
+++ b/almondlink/bundle_commands.cc
@@ -38,7 +38,8 @@
 }
 
 /// The fold over all that the log has.
-Result<FoldState> ReadFold(record_log::Log& log, const policy::FoldRules& rules) {
+Result<FoldState> ReadFold(record_log::Log& log,
+                           const policy::FoldRules& rules) {
   FoldState state;
   BOOST_LEAF_CHECK(ReadWhole(
       log, record_log::BundleStream(FLAGS_deployment),
--- a/almondlink/command.h
+++ b/almondlink/command.h
@@ -35,6 +35,7 @@
 std::vector<Command> NodeCommands();
 std::vector<Command> UsageCommands();
 std::vector<Command> ReplayCommands();
+std::vector<Command> ExplainCommands();
 
 }  // namespace almondlink::tool
 
--- a/almondlink/main.cc
+++ b/almondlink/main.cc
@@ -20,8 +20,8 @@
   std::vector<Command> all;
   for (const auto& part :
        {almondlink::tool::BundleCommands(), almondlink::tool::NodeCommands(),
-        almondlink::tool::UsageCommands(),
-        almondlink::tool::ReplayCommands()}) {
+        almondlink::tool::UsageCommands(), almondlink::tool::ReplayCommands(),
+        almondlink::tool::ExplainCommands()}) {
     all.insert(all.end(), part.begin(), part.end());
   }
   return all;
--- a/almondlinkd/platform_thread.h
+++ b/almondlinkd/platform_thread.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "almondlink/control/usage.h"
-#include "almondlink/record_log/log_client.h"
 #include "almondlink/policy/fold.h"
+#include "almondlink/record_log/log_client.h"
 #include "almondlinkd/shared_state.h"
 
 namespace almondlink::daemon {
--- a/libs/base/include/almondlink/base/event_log.h
+++ b/libs/base/include/almondlink/base/event_log.h
@@ -10,13 +10,13 @@
 #include "almondlink/base/event.h"
 #include "almondlink/base/events.generated.h"
 
-/// Structured log lines with numbered events: one JSON object a line on standard
-/// output, through easylogging++. docs/EVENTS.md is the catalogue.
+/// Structured log lines with numbered events: one JSON object a line on
+/// standard output, through easylogging++. docs/EVENTS.md is the catalogue.
 ///
-/// Logging never blocks: a line goes into a buffer of fixed size, and FlushLog()
-/// writes as much as the output takes at once. Each kind of event (Volume) has
-/// a rate above which its lines are left out and counted, so that failures and
-/// changes of belief are not lost among refusals under load.
+/// Logging never blocks: a line goes into a buffer of fixed size, and
+/// FlushLog() writes as much as the output takes at once. Each kind of event
+/// (Volume) has a rate above which its lines are left out and counted, so that
+/// failures and changes of belief are not lost among refusals under load.
 namespace almondlink {
 
 using LogField = std::pair<const char*, std::string>;
--- a/libs/base/src/clock.cc
+++ b/libs/base/src/clock.cc
@@ -25,8 +25,7 @@
   constexpr std::int64_t kNanosPerMilli = 1'000'000;
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return Millis{time.tv_sec * kMillisPerSecond +
-                time.tv_nsec / kNanosPerMilli};
+  return Millis{time.tv_sec * kMillisPerSecond + time.tv_nsec / kNanosPerMilli};
 }
 
 Millis WallNow() {
--- a/libs/base/src/event_log.cc
+++ b/libs/base/src/event_log.cc
@@ -77,8 +77,8 @@
     out.append("\"").append(text).append("\"");
     return;
   }
-  out += nlohmann::json(text).dump(
-      -1, ' ', true, nlohmann::json::error_handler_t::replace);
+  out += nlohmann::json(text).dump(-1, ' ', true,
+                                   nlohmann::json::error_handler_t::replace);
 }
 
 std::string WallTime() {
@@ -216,8 +216,8 @@
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
-      "DefaultLogDispatchCallback");
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<BufferSink>(kSinkName);
 }
 
--- a/libs/base/src/log_rate.cc
+++ b/libs/base/src/log_rate.cc
@@ -13,8 +13,8 @@
       static_cast<double>((now - rate.refilled).count) / kMillisPerSecond;
   rate.refilled = now;
   for (std::uint32_t i = 0; i < kVolumeCount; ++i) {
-    rate.tokens[i] = std::min(kLinesAtOnce[i],
-                              rate.tokens[i] + passed * kLinesPerSecond[i]);
+    rate.tokens[i] =
+        std::min(kLinesAtOnce[i], rate.tokens[i] + passed * kLinesPerSecond[i]);
   }
 }
 
--- a/libs/control/include/almondlink/control/pressure.h
+++ b/libs/control/include/almondlink/control/pressure.h
@@ -13,14 +13,14 @@
 /// refused at once. Once per window the threshold is set anew. If the queue
 /// wait stands above its target, the threshold falls to the highest rank whose
 /// arrivals, added up from rank 0, do not exceed what the target completed in
-/// the window: one step to the right level instead of many small ones. When the
-/// A class is shed only if one of its own requests waited too long: the queue is
-/// served by class, so a class that does not wait has room, however little was
-/// completed in the window (at the start of a surge, next to nothing). When the
-/// wait is below, the threshold rises by a quarter of the ranks still shed, so
-/// pressure is gone about a second after its cause. The level goes back to
-/// callers' nodes on every answer and is forgotten there after `kLevelLife`, so
-/// nothing keeps pressure up but a fresh answer.
+/// the window: one step to the right level instead of many small ones. A window
+/// with next to no completions (the start of a surge on a cold target) says
+/// little of how much fits: the level then does not reach into a class of which
+/// no request waited too long. When the wait is below, the threshold rises by a
+/// quarter of the ranks still shed, so pressure is gone about a second after
+/// its cause. The level goes back to callers' nodes on every answer and is
+/// forgotten there after `kLevelLife`, so nothing keeps pressure up but a fresh
+/// answer.
 namespace almondlink::control {
 
 /// How long an entry node believes a level it was told.
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -92,14 +92,12 @@
 /// needs little is kept nearly whole by it, and callers that repeat at once,
 /// which multiply what their route wants, gain nothing.
 double GrantAssured(double assured, std::vector<Wanted>& all) {
-  std::sort(all.begin(), all.end(), [](const Wanted& a, const Wanted& b) {
-    return a.slots < b.slots;
-  });
+  std::sort(all.begin(), all.end(),
+            [](const Wanted& a, const Wanted& b) { return a.slots < b.slots; });
   double left = assured;
   std::size_t others = all.size();
   for (Wanted& entry : all) {
-    entry.granted =
-        std::min(entry.slots, left / static_cast<double>(others));
+    entry.granted = std::min(entry.slots, left / static_cast<double>(others));
     left -= entry.granted;
     --others;
   }
--- a/libs/control/src/instance_ledger.cc
+++ b/libs/control/src/instance_ledger.cc
@@ -46,13 +46,13 @@
 ReportEffect TakeReport(Millis now,
                         const InstanceReport& report,
                         InstanceLedger& ledger) {
-  const bool is_current = ledger.phase != InstancePhase::kNone &&
-                          ledger.current.id == report.id;
+  const bool is_current =
+      ledger.phase != InstancePhase::kNone && ledger.current.id == report.id;
   const bool has_left = report.is_leaving || ledger.left.count(report.id) != 0;
   if (!is_current) {
     const auto known = ledger.earlier.find(report.id);
-    const bool is_late = known != ledger.earlier.end() &&
-                         report.sequence <= known->second;
+    const bool is_late =
+        known != ledger.earlier.end() && report.sequence <= known->second;
     // One that leaves has nothing to take over from a living one.
     const bool is_other_living =
         has_left && ledger.phase == InstancePhase::kReady;
--- a/libs/control/src/pressure.cc
+++ b/libs/control/src/pressure.cc
@@ -15,6 +15,9 @@
 /// More than completed is offered: what is too much waits in the queue by rank,
 /// while too little would leave places empty (1.05 to 1.3 were measured).
 constexpr double kHeadroom = 1.2;
+/// Completions in a window below which their number is chance, and says nothing
+/// about how far into a class the level should reach.
+constexpr std::uint32_t kLeastToJudge = 3;
 constexpr Millis kShortestRetryAfter{200};
 constexpr Millis kLongestRetryAfter{2000};
 
@@ -40,8 +43,8 @@
 }
 
 void NoteLate(Criticality criticality, Pressure& pressure) {
-  pressure.first_late = std::min(pressure.first_late,
-                                 static_cast<std::uint32_t>(criticality));
+  pressure.first_late =
+      std::min(pressure.first_late, static_cast<std::uint32_t>(criticality));
 }
 
 std::uint32_t Raised(std::uint32_t threshold) {
@@ -96,7 +99,9 @@
       is_busy && (mean_wait > queue_target.count || pressure.expired > 0);
   if (is_over) {
     const double offered = std::max<double>(1, pressure.completed) * kHeadroom;
-    const std::uint32_t kept = pressure.first_late * kRanksPerClass;
+    const bool is_judged = pressure.completed >= kLeastToJudge;
+    const std::uint32_t kept =
+        is_judged ? 0 : pressure.first_late * kRanksPerClass;
     const std::uint32_t wanted =
         std::max(kept, ThresholdFor(offered, pressure));
     pressure.threshold = std::min(pressure.threshold, wanted);
--- a/libs/control/src/repeat_allowance.cc
+++ b/libs/control/src/repeat_allowance.cc
@@ -44,8 +44,8 @@
                 Millis now,
                 RepeatAllowance& allowance) {
   const std::size_t place = Advance(rules, now, allowance);
-  const std::uint32_t requests = std::accumulate(
-      allowance.requests.begin(), allowance.requests.end(), 0U);
+  const std::uint32_t requests =
+      std::accumulate(allowance.requests.begin(), allowance.requests.end(), 0U);
   const std::uint32_t repeats =
       std::accumulate(allowance.repeats.begin(), allowance.repeats.end(), 0U);
   const double own_part =
--- a/libs/control/tests/chain_admission_test.cc
+++ b/libs/control/tests/chain_admission_test.cc
@@ -120,8 +120,7 @@
         continue;
       }
       NoteWork(request.kind->route,
-               LatencyMs{request.kind->work_ms * this->slowness},
-               this->meter);
+               LatencyMs{request.kind->work_ms * this->slowness}, this->meter);
       --request.calls_left;
       if (request.calls_left == 0) {
         ++counts[request.kind->route].whole;
@@ -142,8 +141,7 @@
       }
       std::exponential_distribution<double> work(
           1 / (request.kind->work_ms * this->slowness));
-      request.ends =
-          this->now + Millis{1 + std::lround(work(this->random))};
+      request.ends = this->now + Millis{1 + std::lround(work(this->random))};
       this->running.push_back(request);
     }
   }
--- a/libs/policy/tests/route_table_test.cc
+++ b/libs/policy/tests/route_table_test.cc
@@ -17,10 +17,9 @@
 
 TEST_CASE("the longest prefix of the host wins") {
   RouteTable table;
-  table.routes = {Make("all", "a.example", "/"),
-                  Make("deep", "a.example", "/x/y/"),
-                  Make("shallow", "a.example", "/x/"),
-                  Make("other", "b.example", "/x/y/")};
+  table.routes = {
+      Make("all", "a.example", "/"), Make("deep", "a.example", "/x/y/"),
+      Make("shallow", "a.example", "/x/"), Make("other", "b.example", "/x/y/")};
   IndexRoutes(table);
   REQUIRE(table.Find("a.example", "/x/y/1?z=/")->name == "deep");
   REQUIRE(table.Find("A.Example:8080", "/x/1")->name == "shallow");
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -99,6 +99,8 @@
   void TimeOut(const CallPointer& call);
   control::RepeatRules Repeats() const;
   void LogShares();
+  /// Id of the request that the call was made for; empty for a root.
+  std::string ParentOf(const Call& call) const;
   double Draw();
   Millis RetryAfter(const Call& call);
 
--- a/libs/relay/src/caller_port.cc
+++ b/libs/relay/src/caller_port.cc
@@ -60,20 +60,19 @@
 namespace {
 
 void Accept(const std::shared_ptr<CallerPort::State>& state) {
-  state->acceptor.async_accept(
-      [state](boost::system::error_code error,
-              boost::asio::ip::tcp::socket socket) {
-        if (!state->acceptor.is_open()) {
-          return;
-        }
-        if (!error) {
-          const std::shared_ptr<CallerSession> session =
-              std::make_shared<CallerSession>(state, std::move(socket));
-          state->sessions.insert(session);
-          session->Start();
-        }
-        Accept(state);
-      });
+  state->acceptor.async_accept([state](boost::system::error_code error,
+                                       boost::asio::ip::tcp::socket socket) {
+    if (!state->acceptor.is_open()) {
+      return;
+    }
+    if (!error) {
+      const std::shared_ptr<CallerSession> session =
+          std::make_shared<CallerSession>(state, std::move(socket));
+      state->sessions.insert(session);
+      session->Start();
+    }
+    Accept(state);
+  });
 }
 
 }  // namespace
@@ -100,10 +99,9 @@
     acceptor.listen(kBacklog, error);
   }
   if (error) {
-    return Fail(ErrorKind::kIo, "cannot listen at " +
-                                    address.address().to_string() + ":" +
-                                    std::to_string(address.port()) + ": " +
-                                    error.message());
+    return Fail(ErrorKind::kIo,
+                "cannot listen at " + address.address().to_string() + ":" +
+                    std::to_string(address.port()) + ": " + error.message());
   }
   Accept(this->state);
   return {};
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -101,6 +101,10 @@
   }
 }
 
+std::string EntryCalls::ParentOf(const Call& call) const {
+  return std::string(this->settings.parent_of(call.head.id));
+}
+
 double EntryCalls::Draw() {
   return std::uniform_real_distribution<double>(0, 1)(this->random);
 }
@@ -153,6 +157,7 @@
     if (WouldLog(kEventNoRoute)) {
       LogEvent(kEventNoRoute,
                {{"request", call->head.id},
+                {"parent", this->ParentOf(*call)},
                 {"host", call->head.host},
                 {"path", call->head.target},
                 {"version", std::to_string(this->table->version)}});
@@ -180,8 +185,8 @@
       call->info = *run;
       call->deadline = std::min(call->deadline, run->deadline);
     }
-    call->info.depth = static_cast<std::uint8_t>(
-        std::min<int>(call->info.depth + 1, 255));
+    call->info.depth =
+        static_cast<std::uint8_t>(std::min<int>(call->info.depth + 1, 255));
   }
   if (call->is_root) {
     if (!this->AdmitRoot(call)) {
@@ -201,8 +206,8 @@
 }
 
 bool EntryCalls::AdmitRoot(const CallPointer& call) {
-  if (control::LetIn(call->info.root_route, call->route->priority,
-                     this->Draw(), this->admission)) {
+  if (control::LetIn(call->info.root_route, call->route->priority, this->Draw(),
+                     this->admission)) {
     return true;
   }
   ++this->counters.refused_at_entry;
@@ -212,6 +217,7 @@
         control::ShareOf(call->info.root_route, this->admission);
     LogEvent(kEventRefusedAtEntry,
              {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
               {"route", call->route->name},
               {"share", std::to_string(share)},
               {"share_age_ms",
@@ -233,8 +239,7 @@
   }
   const double middle =
       kReturnPart * static_cast<double>(call.route->latency_target.count);
-  const Millis spread{
-      static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
+  const Millis spread{static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
   return std::max(kShortestReturn, spread);
 }
 
@@ -298,8 +303,8 @@
   }
   call->peer = peer;
   call->tried.push_back(peer->node.name);
-  call->chosen_load = peer->told.running + peer->told.waiting +
-                      peer->sent_since;
+  call->chosen_load =
+      peer->told.running + peer->told.waiting + peer->sent_since;
   call->chosen_slots = peer->told.slots;
   call->chosen_age = now - peer->told_at;
   ++peer->sent_since;
@@ -373,6 +378,7 @@
     if (this->MayRepeat(BootTimeNow(), *call)) {
       LogEvent(kEventSentAgain,
                {{"request", call->head.id},
+                {"parent", this->ParentOf(*call)},
                 {"after", "status " + std::to_string(frame.status)},
                 {"target", peer->told.instance}});
       this->Attempt(call);
@@ -389,6 +395,7 @@
   if (WouldLog(kEventAnswered)) {
     LogEvent(kEventAnswered,
              {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
               {"route", call->route->name},
               {"target", call->peer->told.instance},
               {"status", std::to_string(frame.status)},
@@ -493,15 +500,17 @@
   }
   const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
   if (WouldLog(event)) {
-    LogEvent(event, {{"request", call->head.id},
-                     {"after", ToString(reason)},
-                     {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
-                     {"target", instance},
-                     {"attempts", std::to_string(call->attempts)},
-                     {"load", std::to_string(call->chosen_load)},
-                     {"slots", std::to_string(call->chosen_slots)},
-                     {"told_age_ms", std::to_string(call->chosen_age.count)},
-                     {"left_ms", std::to_string((call->deadline - now).count)}});
+    LogEvent(event,
+             {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
+              {"after", ToString(reason)},
+              {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
+              {"target", instance},
+              {"attempts", std::to_string(call->attempts)},
+              {"load", std::to_string(call->chosen_load)},
+              {"slots", std::to_string(call->chosen_slots)},
+              {"told_age_ms", std::to_string(call->chosen_age.count)},
+              {"left_ms", std::to_string((call->deadline - now).count)}});
   }
   if (goes_on) {
     this->Attempt(call);
@@ -539,6 +548,7 @@
   const std::uint32_t status = is_late ? kGatewayTimeout : kBadGateway;
   ++(is_late ? this->counters.timed_out : this->counters.unknown);
   LogEvent(kEventOutcomeUnknown, {{"request", call->head.id},
+                                  {"parent", this->ParentOf(*call)},
                                   {"status", std::to_string(status)},
                                   {"reason", ToString(reason)},
                                   {"route", call->route->name}});
@@ -552,12 +562,13 @@
   // A refusal at entry has a line of its own.
   const bool is_new = call->id != 0 || call->route == nullptr;
   if (is_new && WouldLog(kEventNotRun)) {
-    LogEvent(kEventNotRun,
-             {{"request", call->head.id},
-              {"reason", call->table == nullptr ? "no-policy"
-                                                : ToString(reason)},
-              {"service", call->service},
-              {"retry_after_ms", std::to_string(wait.count)}});
+    LogEvent(
+        kEventNotRun,
+        {{"request", call->head.id},
+         {"parent", this->ParentOf(*call)},
+         {"reason", call->table == nullptr ? "no-policy" : ToString(reason)},
+         {"service", call->service},
+         {"retry_after_ms", std::to_string(wait.count)}});
   }
   std::array<char, 40> field{};
   std::snprintf(field.data(), field.size(), "Retry-After: %.2f\r\n",
@@ -590,11 +601,12 @@
 void EntryCalls::Abandon(const CallPointer& call) {
   ++this->counters.cancelled;
   if (WouldLog(kEventCallerLeft)) {
-    LogEvent(kEventCallerLeft,
-             {{"request", call->head.id},
-              {"route", call->route->name},
-              {"after_ms",
-               std::to_string((BootTimeNow() - call->arrived).count)}});
+    LogEvent(
+        kEventCallerLeft,
+        {{"request", call->head.id},
+         {"parent", this->ParentOf(*call)},
+         {"route", call->route->name},
+         {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
   }
   this->DropAttempt(call);
   this->Finish(call);
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -110,9 +110,9 @@
 };
 
 constexpr std::array<const char*, 12> kReasonNames = {
-    "none",         "draining",       "no-instance", "other-instance",
-    "full",         "connect-failed", "deadline",    "closed",
-    "bad-answer",   "timeout",        "link-lost",   "link-busy"};
+    "none",       "draining",       "no-instance", "other-instance",
+    "full",       "connect-failed", "deadline",    "closed",
+    "bad-answer", "timeout",        "link-lost",   "link-busy"};
 
 void PutAddress(const NodeAddress& node, Writer& out) {
   out.PutText(node.name);
@@ -254,9 +254,8 @@
   writer.Put(frame.sent_ms);
   writer.Put(frame.left_ms);
   writer.Put(frame.wait_ms);
-  writer.PutByte(
-      static_cast<std::uint8_t>((frame.is_repeatable ? 1U : 0U) |
-                                (frame.is_repeat ? 2U : 0U)));
+  writer.PutByte(static_cast<std::uint8_t>((frame.is_repeatable ? 1U : 0U) |
+                                           (frame.is_repeat ? 2U : 0U)));
   writer.PutByte(frame.depth);
   writer.PutByte(frame.priority);
   writer.Put(frame.root_route);
--- a/libs/relay/src/peer_link.cc
+++ b/libs/relay/src/peer_link.cc
@@ -96,8 +96,8 @@
         std::size_t used = 0;
         bool is_bad = false;
         while (self->IsOpen()) {
-          const std::optional<RawFrame> frame = NextFrame(
-              std::string_view(self->input).substr(used), is_bad);
+          const std::optional<RawFrame> frame =
+              NextFrame(std::string_view(self->input).substr(used), is_bad);
           if (!frame.has_value()) {
             break;
           }
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -83,10 +83,9 @@
     this->acceptor.listen(kBacklog, error);
   }
   if (error) {
-    return Fail(ErrorKind::kIo,
-                "cannot listen at " +
-                    FormatAddress(this->settings.peer_address) + ": " +
-                    error.message());
+    return Fail(ErrorKind::kIo, "cannot listen at " +
+                                    FormatAddress(this->settings.peer_address) +
+                                    ": " + error.message());
   }
   this->Accept();
   return {};
@@ -122,12 +121,11 @@
   if (node.name == this->self->node.name || node.address.empty()) {
     return;
   }
-  const auto known =
-      std::find_if(this->peers.begin(), this->peers.end(),
-                   [&node](const PeerPointer& peer) {
-                     return peer->node.name == node.name ||
-                            peer->node.address == node.address;
-                   });
+  const auto known = std::find_if(this->peers.begin(), this->peers.end(),
+                                  [&node](const PeerPointer& peer) {
+                                    return peer->node.name == node.name ||
+                                           peer->node.address == node.address;
+                                  });
   if (known == this->peers.end()) {
     const PeerPointer peer = std::make_shared<Peer>();
     peer->node = node;
@@ -355,11 +353,9 @@
 }
 
 std::uint32_t PeerTable::CountLive() const {
-  return static_cast<std::uint32_t>(
-      std::count_if(this->peers.begin(), this->peers.end(),
-                    [](const PeerPointer& peer) {
-                      return peer->IsReachable();
-                    }));
+  return static_cast<std::uint32_t>(std::count_if(
+      this->peers.begin(), this->peers.end(),
+      [](const PeerPointer& peer) { return peer->IsReachable(); }));
 }
 
 PeerLinkPointer PeerTable::Accepted(LinkId link) const {
@@ -399,8 +395,8 @@
   if (peer->policy_sent == Millis{0}) {
     // A node that knows none needs it at once.
     const bool is_empty = peer->told.policy_version == 0;
-    peer->policy_sent = is_empty ? now - kPolicyAgain : now - kPolicyAgain +
-                                                            kPolicyWait;
+    peer->policy_sent =
+        is_empty ? now - kPolicyAgain : now - kPolicyAgain + kPolicyWait;
   }
   if (now - peer->policy_sent >= kPolicyAgain) {
     peer->policy_sent = now;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -202,14 +202,14 @@
 
 void RelayNode::LogInstance() const {
   const control::InstanceLedger& ledger = this->served.Ledger();
-  LogEvent(kEventInstance,
-           {{"instance", ledger.current.id},
-            {"service", ledger.current.service},
-            {"state", ledger.phase == control::InstancePhase::kReady
-                          ? "ready"
-                          : "leaving"},
-            {"capacity", std::to_string(ledger.current.capacity)},
-            {"sequence", std::to_string(ledger.current.sequence)}});
+  LogEvent(
+      kEventInstance,
+      {{"instance", ledger.current.id},
+       {"service", ledger.current.service},
+       {"state",
+        ledger.phase == control::InstancePhase::kReady ? "ready" : "leaving"},
+       {"capacity", std::to_string(ledger.current.capacity)},
+       {"sequence", std::to_string(ledger.current.sequence)}});
 }
 
 void RelayNode::OnReport(const control::InstanceReport& report,
@@ -257,11 +257,11 @@
 }
 
 void RelayNode::OnState(const PeerPointer& peer) {
-  LogEvent(kEventPeerSeen, {{"peer", peer->node.name},
-                            {"service", peer->told.service},
-                            {"instance", peer->told.instance},
-                            {"version",
-                             std::to_string(peer->told.policy_version)}});
+  LogEvent(kEventPeerSeen,
+           {{"peer", peer->node.name},
+            {"service", peer->told.service},
+            {"instance", peer->told.instance},
+            {"version", std::to_string(peer->told.policy_version)}});
 }
 
 void RelayNode::OnCallFrame(const PeerLinkPointer& link,
@@ -404,10 +404,8 @@
   add("timed_out", counts.timed_out);
   add("no_route", counts.no_route);
   add("cancelled", counts.cancelled);
-  WriteMetric(out, "repeats_total", "",
-              static_cast<double>(counts.repeats));
-  WriteMetric(out, "moved_total", "",
-              static_cast<double>(counts.moved));
+  WriteMetric(out, "repeats_total", "", static_cast<double>(counts.repeats));
+  WriteMetric(out, "moved_total", "", static_cast<double>(counts.moved));
   const LatencySummary added = this->entry.AddedTime();
   WriteMetric(out, "added_ms", "quantile=\"0.5\"", added.p50);
   WriteMetric(out, "added_ms", "quantile=\"0.99\"", added.p99);
@@ -425,10 +423,9 @@
   WriteMetric(out, "peers", "", this->peers.CountLive());
   std::uint32_t open_targets = 0;
   for (const PeerPointer& peer : this->peers.All()) {
-    open_targets += peer->IsReachable() &&
-                            peer->told.state == InstanceState::kReady
-                        ? 1
-                        : 0;
+    open_targets +=
+        peer->IsReachable() && peer->told.state == InstanceState::kReady ? 1
+                                                                         : 0;
   }
   WriteMetric(out, "open_targets", "", open_targets);
   WriteMetric(out, "policy_version", "",
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -103,8 +103,8 @@
   call->info.depth = frame.depth;
   call->info.is_repeat = frame.is_repeat;
   call->is_repeatable = frame.is_repeatable;
-  call->wait_until = std::min(call->info.deadline - kLeastLeft,
-                              now + Millis{frame.wait_ms});
+  call->wait_until =
+      std::min(call->info.deadline - kLeastLeft, now + Millis{frame.wait_ms});
   CallReason fault = this->WhyNotServed(now, frame);
   if (fault == CallReason::kNone && call->info.deadline <= now + kLeastLeft) {
     fault = CallReason::kDeadline;
@@ -120,8 +120,8 @@
   call->start.append(" HTTP/1.1\r\n").append(frame.fields);
   call->caller_service.assign(frame.caller_service);
   call->body.assign(frame.body);
-  call->order = Order{frame.priority, -static_cast<int>(frame.depth),
-                      ++this->arrivals};
+  call->order =
+      Order{frame.priority, -static_cast<int>(frame.depth), ++this->arrivals};
   this->calls.emplace(CallKey{link, frame.id}, call);
   this->queue.emplace(call->order, call);
   this->Fill(now);
@@ -175,8 +175,8 @@
       .append(": ")
       .append(call->caller_service)
       .append("\r\n");
-  const bool has_body = !call->body.empty() ||
-                        (call->method != "GET" && call->method != "HEAD");
+  const bool has_body =
+      !call->body.empty() || (call->method != "GET" && call->method != "HEAD");
   if (has_body) {
     bytes.append("Content-Length: ")
         .append(std::to_string(call->body.size()))
@@ -221,8 +221,8 @@
   AnswerFrame answer;
   answer.id = call->id;
   const bool has_not_run = head.is_not_run || head.status == kMisdirected;
-  answer.outcome = has_not_run ? CallOutcome::kRefusedByTarget
-                               : CallOutcome::kAnswered;
+  answer.outcome =
+      has_not_run ? CallOutcome::kRefusedByTarget : CallOutcome::kAnswered;
   answer.has_more = has_more;
   answer.status = static_cast<std::uint16_t>(head.status);
   answer.status_text = head.reason;
@@ -324,9 +324,7 @@
   this->Fill(BootTimeNow());
 }
 
-void ServedCalls::OnWindow(LinkId link,
-                           std::uint32_t id,
-                           std::uint32_t bytes) {
+void ServedCalls::OnWindow(LinkId link, std::uint32_t id, std::uint32_t bytes) {
   const auto found = this->calls.find(CallKey{link, id});
   if (found != this->calls.end()) {
     TargetPool::Taken(found->second->exchange, bytes);
@@ -411,8 +409,7 @@
   if (now - this->meter.window_start >= Millis{100}) {
     const double span =
         static_cast<double>((now - this->meter.window_start).count);
-    control::UpdateRate(span, control::kStructureMemoryMs,
-                        this->calls_of_runs);
+    control::UpdateRate(span, control::kStructureMemoryMs, this->calls_of_runs);
     control::UpdateRate(span, control::kStructureMemoryMs, this->started_runs);
     control::UpdateDemand(now, this->meter);
   }
--- a/libs/relay/src/target_connection.cc
+++ b/libs/relay/src/target_connection.cc
@@ -44,20 +44,19 @@
   this->is_busy = true;
   this->request = std::move(request_in);
   this->events = std::move(events_in);
-  this->socket.async_connect(
-      address,
-      [self = this->shared_from_this()](boost::system::error_code error) {
-        if (!self->is_connecting) {
-          return;
-        }
-        self->is_connecting = false;
-        if (error) {
-          self->Fail(CallReason::kConnectFailed);
-          return;
-        }
-        PrepareSocket(self->socket, kSilence);
-        self->Use(std::move(self->request), std::move(self->events));
-      });
+  this->socket.async_connect(address, [self = this->shared_from_this()](
+                                          boost::system::error_code error) {
+    if (!self->is_connecting) {
+      return;
+    }
+    self->is_connecting = false;
+    if (error) {
+      self->Fail(CallReason::kConnectFailed);
+      return;
+    }
+    PrepareSocket(self->socket, kSilence);
+    self->Use(std::move(self->request), std::move(self->events));
+  });
 }
 
 void TargetConnection::Use(TargetRequest request_in, TargetEvents events_in) {
@@ -163,11 +162,10 @@
     const bool is_complete = step == ParseStep::kDone;
     const bool is_interim =
         is_complete && this->parser->head.status < kFirstSuccess;
-    const bool is_strange = is_complete && !is_interim &&
-                            !this->is_streaming && !this->IsOfThisRequest();
+    const bool is_strange = is_complete && !is_interim && !this->is_streaming &&
+                            !this->IsOfThisRequest();
     const std::string& id = this->parser->head.id;
-    const bool is_other =
-        is_strange && !id.empty() && id != this->request.id;
+    const bool is_other = is_strange && !id.empty() && id != this->request.id;
     if (is_interim || is_strange) {
       if (is_strange && (!is_other || this->has_skipped)) {
         this->Fail(CallReason::kBadAnswer);
@@ -259,8 +257,8 @@
   this->is_busy = false;
   this->events = {};
   this->idle_since = BootTimeNow();
-  this->idle_until = this->idle_since +
-                     (stated > 0 ? Millis{stated} : kIdleDefault);
+  this->idle_until =
+      this->idle_since + (stated > 0 ? Millis{stated} : kIdleDefault);
   shared->idle.push_back(this->shared_from_this());
   this->Read();
 }
--- a/libs/relay/tests/http_parser_test.cc
+++ b/libs/relay/tests/http_parser_test.cc
@@ -5,14 +5,15 @@
 namespace almondlink::relay {
 namespace {
 
-const HeaderNames kNames = {"X-Id",   "X-Left", "X-Caller", "X-Target",
+const HeaderNames kNames = {"X-Id",   "X-Left", "X-Caller",  "X-Target",
                             "X-Seal", "X-Not",  "X-Instance"};
 
 TEST_CASE("what concerns one connection, or speaks for us, is not passed on") {
   RequestParser parser(kNames);
   std::string input =
       "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nX-Left: 500\r\n"
-      "x-caller: forged\r\nX-TARGET: forged\r\nConnection: keep-alive, X-Hop\r\n"
+      "x-caller: forged\r\nX-TARGET: forged\r\nConnection: keep-alive, "
+      "X-Hop\r\n"
       "X-Hop: 1\r\nKeep-Alive: timeout=3\r\nX-Kept: yes\r\n"
       "Content-Length: 3\r\n\r\nabcNEXT";
   REQUIRE(parser.Feed(input) == ParseStep::kDone);
@@ -55,7 +56,8 @@
 TEST_CASE("an answer without a length is whole only at a proper end") {
   AnswerParser parser(kNames);
   std::string input =
-      "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nConnection: close\r\n\r\npart";
+      "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nConnection: "
+      "close\r\n\r\npart";
   REQUIRE(parser.Feed(input) == ParseStep::kNeedMore);
   REQUIRE(parser.head.has_seal);
   REQUIRE_FALSE(parser.head.is_keep_alive);
--- a/standins/blocking_http.cc
+++ b/standins/blocking_http.cc
@@ -43,8 +43,8 @@
   }
 };
 
-/// Reads one answer; the read is ended after the timeout, which SO_RCVTIMEO would
-/// not do under Asio's blocking calls.
+/// Reads one answer; the read is ended after the timeout, which SO_RCVTIMEO
+/// would not do under Asio's blocking calls.
 void ReadWithin(std::chrono::milliseconds timeout,
                 asio::io_context& context,
                 asio::ip::tcp::socket& socket,
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -49,23 +49,22 @@
   }
 }
 
-unsigned FakeInstance::Report(const std::string& state,
-                              std::uint64_t number) {
+unsigned FakeInstance::Report(const std::string& state, std::uint64_t number) {
   BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
   PlainRequest request;
   request.method = "POST";
   request.target = "/instances/" + this->spec.id + "/heartbeat";
   request.headers["Content-Type"] = "application/json";
   request.body =
-      nlohmann::json({{"service", this->spec.service},
-                      {"address",
-                       "127.0.0.1:" + std::to_string(this->spec.port)},
-                      {"zone", this->spec.zone},
-                      {"version", "v1"},
-                      {"capacity", this->spec.capacity},
-                      {"state", state},
-                      {"coldLeftMs", 0},
-                      {"sequence", number}})
+      nlohmann::json(
+          {{"service", this->spec.service},
+           {"address", "127.0.0.1:" + std::to_string(this->spec.port)},
+           {"zone", this->spec.zone},
+           {"version", "v1"},
+           {"capacity", this->spec.capacity},
+           {"state", state},
+           {"coldLeftMs", 0},
+           {"sequence", number}})
           .dump();
   return client.Send(request).status;
 }
@@ -134,8 +133,7 @@
     reaction.hangs = true;
     return reaction;
   }
-  const auto until =
-      run.at + std::chrono::milliseconds(this->work_ms.load());
+  const auto until = run.at + std::chrono::milliseconds(this->work_ms.load());
   while (std::chrono::steady_clock::now() < until) {
     if (is_gone()) {
       const std::lock_guard<std::mutex> lock(this->mutex);
@@ -166,8 +164,8 @@
       reaction.bytes += reaction.bytes;
       break;
     case InstanceFault::kUnframed:
-      reaction.bytes = "HTTP/1.1 200 OK\r\n" + seal +
-                       "Connection: close\r\n\r\n" + body;
+      reaction.bytes =
+          "HTTP/1.1 200 OK\r\n" + seal + "Connection: close\r\n\r\n" + body;
       reaction.closes = true;
       break;
     case InstanceFault::kNoSeal:
--- a/standins/fake_server.cc
+++ b/standins/fake_server.cc
@@ -87,12 +87,12 @@
     }
     const FakeRequest request = parser.release();
     const int handle = connection.socket.native_handle();
-    const Reaction reaction = this->handler(
-        request, [handle]() { return IsClosedByPeer(handle); });
+    const Reaction reaction =
+        this->handler(request, [handle]() { return IsClosedByPeer(handle); });
     is_silent = is_silent || reaction.hangs;
     if (!is_silent) {
-      boost::asio::write(connection.socket,
-                         boost::asio::buffer(reaction.bytes), error);
+      boost::asio::write(connection.socket, boost::asio::buffer(reaction.bytes),
+                         error);
     }
     if (reaction.resets) {
       connection.socket.set_option(boost::asio::socket_base::linger(true, 0),
--- a/standins/fake_store.cc
+++ b/standins/fake_store.cc
@@ -97,8 +97,7 @@
 }
 
 std::string FakeStore::Append(const FakeRequest& request) {
-  const std::string topic =
-      QueryValue(std::string(request.target()), "topic");
+  const std::string topic = QueryValue(std::string(request.target()), "topic");
   std::string_view rest = request.body();
   const std::lock_guard<std::mutex> lock(this->mutex);
   Topic& log = this->topics[topic];
@@ -109,20 +108,18 @@
     size = boost::endian::big_to_native(size);
     rest.remove_prefix(4);
     const std::size_t key_size = static_cast<unsigned char>(rest.front());
-    log.records.push_back({std::string(rest.substr(1, key_size)),
-                           std::string(rest.substr(1 + key_size,
-                                                   size - 1 - key_size))});
+    log.records.push_back(
+        {std::string(rest.substr(1, key_size)),
+         std::string(rest.substr(1 + key_size, size - 1 - key_size))});
     rest.remove_prefix(size);
   }
   this->appended.notify_all();
-  return MakeAnswer(200, "Content-Type: application/json\r\n",
-                    nlohmann::json({{"offset", offset},
-                                    {"end", log.records.size()}})
-                        .dump());
+  return MakeAnswer(
+      200, "Content-Type: application/json\r\n",
+      nlohmann::json({{"offset", offset}, {"end", log.records.size()}}).dump());
 }
 
-std::string FakeStore::Read(const FakeRequest& request,
-                            const IsGone& is_gone) {
+std::string FakeStore::Read(const FakeRequest& request, const IsGone& is_gone) {
   const std::string target(request.target());
   const std::uint64_t from = std::stoull(QueryValue(target, "from"));
   const std::string wait = QueryValue(target, "waitMs");
@@ -148,8 +145,7 @@
 }
 
 std::string FakeStore::ReadNewest(const FakeRequest& request) {
-  const std::string topic =
-      QueryValue(std::string(request.target()), "topic");
+  const std::string topic = QueryValue(std::string(request.target()), "topic");
   const std::lock_guard<std::mutex> lock(this->mutex);
   const Topic& log = this->topics[topic];
   nlohmann::json items = nlohmann::json::array();
@@ -162,11 +158,11 @@
                        {"offset", i}});
     }
   }
-  return MakeAnswer(200, "Content-Type: application/json\r\n",
-                    nlohmann::json({{"items", items},
-                                    {"more", false},
-                                    {"end", log.records.size()}})
-                        .dump());
+  return MakeAnswer(
+      200, "Content-Type: application/json\r\n",
+      nlohmann::json(
+          {{"items", items}, {"more", false}, {"end", log.records.size()}})
+          .dump());
 }
 
 void FakeStore::Put(const std::string& topic,
--- a/test/process/relay_path_test.cc
+++ b/test/process/relay_path_test.cc
@@ -26,7 +26,8 @@
     {"stock", "stock.example", "/stock/", "stock"},
     {"short", "stock.example", "/short/", "stock", "safe", 300}};
 
-TEST_CASE("a request reaches a target elsewhere, with what the target expects") {
+TEST_CASE(
+    "a request reaches a target elsewhere, with what the target expects") {
   RelayCluster cluster(24000, "path");
   cluster.Add(Spec("i-shop", "shop"));
   cluster.Add(Spec("i-stock", "stock"), "zone-b");
@@ -137,9 +138,8 @@
     const std::vector<SeenRequest> seen = cluster.Instance(1).Seen();
     return seen.size() == 1 && seen[0].was_dropped;
   }));
-  REQUIRE(Soon([&]() {
-    return cluster.Metric(1, "almondlink_target_running") == 0.0;
-  }));
+  REQUIRE(Soon(
+      [&]() { return cluster.Metric(1, "almondlink_target_running") == 0.0; }));
 }
 
 TEST_CASE("a target never runs more than it has slots for") {
@@ -184,9 +184,8 @@
   cluster.Configure(1, {route});
   cluster.WaitReady();
   for (int i = 0; i < 200; ++i) {
-    REQUIRE(
-        cluster.Call(i % 2, "mixed.example", "/m/1", std::to_string(i)).status ==
-        200);
+    REQUIRE(cluster.Call(i % 2, "mixed.example", "/m/1", std::to_string(i))
+                .status == 200);
   }
   const std::size_t fresh = cluster.Instance(1).Seen().size();
   REQUIRE(fresh >= 17);
--- a/test/process/relay_planned_test.cc
+++ b/test/process/relay_planned_test.cc
@@ -107,10 +107,10 @@
   const std::size_t before = cluster.Instance(0).Seen().size();
   std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   for (int i = 0; i < 20; ++i) {
-    REQUIRE(cluster
-                .Call(i % 2, "stock.example", "/stock/1",
-                      "x" + std::to_string(i))
-                .status == 200);
+    REQUIRE(
+        cluster
+            .Call(i % 2, "stock.example", "/stock/1", "x" + std::to_string(i))
+            .status == 200);
   }
   REQUIRE(cluster.Instance(0).Seen().size() == before);
 }
@@ -126,9 +126,8 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   const std::size_t before = cluster.Instance(0).Seen().size();
   for (int i = 0; i < 20; ++i) {
-    REQUIRE(
-        cluster.Call(i % 2, "stock.example", "/stock/1", std::to_string(i))
-            .status == 200);
+    REQUIRE(cluster.Call(i % 2, "stock.example", "/stock/1", std::to_string(i))
+                .status == 200);
   }
   REQUIRE(cluster.Instance(0).Seen().size() == before);
 }
--- a/test/process/relay_store_test.cc
+++ b/test/process/relay_store_test.cc
@@ -82,9 +82,8 @@
   cluster.Configure(6, {kStock});
   cluster.Store().Put("keyed.op", "config", "no configuration");
   cluster.Configure(9, {kStock, kFresh});
-  REQUIRE(Soon([&]() {
-    return cluster.Metric(0, "almondlink_policy_version") == 9.0;
-  }));
+  REQUIRE(Soon(
+      [&]() { return cluster.Metric(0, "almondlink_policy_version") == 9.0; }));
   REQUIRE(FreshStatus(cluster, 0) == 200);
 }
 
--- a/test/process/start_test.cc
+++ b/test/process/start_test.cc
@@ -40,9 +40,10 @@
 TEST_CASE("bad settings end the start with exit code 2 and one line") {
   std::string output;
   REQUIRE(StartWith(std::string(kSettings) + "[nodes]\nid = x\n", output) == 2);
-  REQUIRE(output.find("node.ini:14: [nodes] is not a section; allowed: node, "
-                      "target, mesh, log, bundle, metering, logging\n") !=
-          std::string::npos);
+  REQUIRE(
+      output.find("node.ini:14: [nodes] is not a section; allowed: node, "
+                  "target, mesh, log, bundle, metering, relay, logging\n") !=
+      std::string::npos);
   REQUIRE(std::count(output.begin(), output.end(), '\n') == 1);
   output.clear();
   REQUIRE(RunCommand({Program("almondlinkd/almondlinkd")}, output) == 2);
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -22,9 +22,8 @@
 }
 
 standins::PlainAnswer Get(int port, const std::string& path) {
-  standins::BlockingHttp client(
-      {"127.0.0.1", static_cast<std::uint16_t>(port)},
-      std::chrono::seconds(2));
+  standins::BlockingHttp client({"127.0.0.1", static_cast<std::uint16_t>(port)},
+                                std::chrono::seconds(2));
   standins::PlainRequest request;
   request.target = path;
   return client.Send(request);
@@ -88,8 +87,8 @@
 
 void RelayCluster::WriteSettings(int node, const std::string& service) {
   std::ofstream out(this->SettingsPath(node));
-  out << "[node]\nid = node-" << node << "\ndeployment = test\nzone = "
-      << this->nodes[Index(node)].zone
+  out << "[node]\nid = node-" << node
+      << "\ndeployment = test\nzone = " << this->nodes[Index(node)].zone
       << "\ncaller_address = " << At(this->PortOf(node, 0))
       << "\npeer_address = " << At(this->PortOf(node, kPeerPort))
       << "\nadmin_address = " << At(this->PortOf(node, kReadyPort))
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -42,7 +42,8 @@
 
   /// Adds a node and its instance; `spec` needs id and service, the ports are
   /// filled in. Returns its number.
-  int Add(standins::FakeInstance::Spec spec, const std::string& zone = "zone-a");
+  int Add(standins::FakeInstance::Spec spec,
+          const std::string& zone = "zone-a");
   void StartNode(int node);
   Process& Node(int node) { return *this->nodes[Index(node)].process; }
   standins::FakeInstance& Instance(int node) {
