--- a/almondlink/flags.h
+++ b/almondlink/flags.h
@@ -6,9 +6,9 @@
 #include <memory>
 
 #include "almondlink/base/error.h"
-#include "almondlink/record_log/log_client.h"
 #include "almondlink/policy/fold.h"
 #include "almondlink/policy/signing.h"
+#include "almondlink/record_log/log_client.h"
 
 DECLARE_string(log);
 DECLARE_string(deployment);
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -407,6 +407,7 @@
   WriteMetric(out, "repeats_total", "", static_cast<double>(counts.repeats));
   WriteMetric(out, "moved_total", "", static_cast<double>(counts.moved));
   const LatencySummary added = this->entry.AddedTime();
+  WriteMetric(out, "added_ms_count", "", static_cast<double>(added.count));
   WriteMetric(out, "added_ms", "quantile=\"0.5\"", added.p50);
   WriteMetric(out, "added_ms", "quantile=\"0.99\"", added.p99);
   WriteMetric(out, "target_running", "", this->served.Running());
