--- a/almondlinkd/admin_routes.h
+++ b/almondlinkd/admin_routes.h
@@ -21,7 +21,7 @@
   std::function<void(std::uint32_t)> announce_slots;
 };
 
-/// The paths of the admin port (docs/OPERATING.md): /dump, /metrics, /health,
+/// The paths of the admin port (docs/OPERATIONS.md): /dump, /metrics, /health,
 /// and by POST /drain, /resume, /announce, /trace/start, /trace/stop. `shared`
 /// and `recorder` must outlive the server.
 std::map<std::string, server::AdminHandler> MakeAdminRoutes(
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -16,6 +16,9 @@
 /// State is told this often while the target works, and otherwise.
 constexpr Millis kTellBusy{200};
 constexpr Millis kTellIdle{1000};
+/// A busy node tells at most one state in so many milliseconds, over all links:
+/// with many nodes each link gets one less often.
+constexpr std::int64_t kTellPerLink = 3;
 /// Silence after which a link is given up: two states of an idle node missed.
 constexpr Millis kSilent{2200};
 /// A tick that comes this late means that the host was suspended or starved.
@@ -425,7 +428,10 @@
   }
   this->last_tick = now;
   const bool is_busy = this->self->told.running + this->self->told.waiting > 0;
-  if (now - this->last_told >= (is_busy ? kTellBusy : kTellIdle)) {
+  const Millis by_links{static_cast<std::int64_t>(this->accepted.size()) *
+                        kTellPerLink};
+  const Millis busy_wait = std::clamp(by_links, kTellBusy, kTellIdle);
+  if (now - this->last_told >= (is_busy ? busy_wait : kTellIdle)) {
     this->TellNow();
   }
   const std::vector<PeerPointer> all = this->peers;
