A node that is silent while calls are out is suspect after 0.7 s

Ruled out: closing the link at once (a host that only stands still for a moment answers what it has). Change: a ping after 0.3 s of silence with calls out, suspect after 0.7 s: no new calls, what may run again goes elsewhere.

--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -64,6 +64,9 @@
   /// The link to a node is gone, and with it the attempts there.
   void OnLinkLost(const PeerPointer& peer);
 
+  /// The node does not answer on an open link.
+  void OnSuspect(const PeerPointer& peer);
+
   /// Time-outs; call every few tens of milliseconds.
   void Sweep(Millis now);
   /// Works the admission out anew; call every 100 ms.
@@ -90,6 +93,9 @@
                        CallOutcome outcome,
                        CallReason reason);
   bool MayRepeat(Millis now, const Call& call);
+  void MoveFromSuspect(const CallPointer& call);
+  /// Moves the call to a peer, or to none, and counts.
+  static void Assign(const CallPointer& call, const PeerPointer& peer);
   void PassAnswer(const CallPointer& call, const AnswerFrame& frame);
   void RefuseNotRun(const CallPointer& call, CallReason reason, Millis wait);
   void FinishFailed(const CallPointer& call, CallReason reason);
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -30,6 +30,8 @@
   kWindow = 7,
   kCancel = 8,
   kSeen = 9,
+  /// Asks for a state at once.
+  kPing = 10,
 };
 
 /// What a target tells of its life; later values are never taken back for the
@@ -194,6 +196,7 @@
 void Append(const WindowFrame& frame, std::string& out);
 void AppendPolicy(std::string_view policy, std::string& out);
 void AppendCancel(std::uint32_t id, std::string& out);
+void AppendPing(std::string& out);
 /// The receiver keeps the state with that sequence number in mind.
 void AppendSeen(std::uint64_t sequence, std::string& out);
 
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -40,6 +40,11 @@
   Millis told_at;
   /// Calls sent since the target's load was told.
   std::uint32_t sent_since = 0;
+  /// Calls of this node that are out there.
+  std::uint32_t outstanding = 0;
+  /// Nothing came on its link for too long while calls are out.
+  bool is_suspect = false;
+  Millis pinged;
   control::TargetHealth health;
   bool is_dialling = false;
   Millis next_dial;
@@ -64,6 +69,8 @@
   std::function<void(const PeerLinkPointer&, const RawFrame&)> on_call;
   std::function<void(LinkId)> on_accepted_closed;
   std::function<void(const PeerPointer&)> on_lost;
+  /// The node became suspect.
+  std::function<void(const PeerPointer&)> on_suspect;
   /// A state was told; `is_first`: the first on this link.
   std::function<void(const PeerPointer&, bool is_first)> on_state;
   std::function<void(std::string policy)> on_policy;
@@ -131,6 +138,7 @@
   void SendHello(PeerLink& link, const std::string& to);
   void PassPolicy(Millis now, const PeerPointer& peer);
   void ForgetLost(Millis now);
+  void CheckSilence(Millis now, const PeerPointer& peer);
 
   boost::asio::io_context& loop;
   const RelaySettings& settings;
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -80,6 +80,16 @@
   Millis chosen_age;
 };
 
+void EntryCalls::Assign(const CallPointer& call, const PeerPointer& peer) {
+  if (call->peer != nullptr) {
+    --call->peer->outstanding;
+  }
+  call->peer = peer;
+  if (peer != nullptr) {
+    ++peer->outstanding;
+  }
+}
+
 EntryCalls::EntryCalls(const RelaySettings& settings_in,
                        PeerTable& peers_in,
                        ServedCalls& served_in)
@@ -250,7 +260,8 @@
   for (const PeerPointer& peer : members) {
     control::PlaceView view;
     view.is_own_zone = peer->told.zone == this->settings.zone.Value();
-    view.is_open = peer->IsReachable() && !peer->told.is_stopping &&
+    view.is_open = peer->IsReachable() && !peer->is_suspect &&
+                   !peer->told.is_stopping &&
                    peer->told.state == InstanceState::kReady;
     view.is_tried = std::find(call.tried.begin(), call.tried.end(),
                               peer->node.name) != call.tried.end();
@@ -301,7 +312,7 @@
     this->calls.emplace(call->id, call);
     this->ends.emplace(call->end.count, call->id);
   }
-  call->peer = peer;
+  Assign(call, peer);
   call->tried.push_back(peer->node.name);
   call->chosen_load =
       peer->told.running + peer->told.waiting + peer->sent_since;
@@ -455,7 +466,7 @@
   const std::vector<PeerPointer>& members = this->peers.Of(call.service);
   const bool has_other = std::any_of(
       members.begin(), members.end(), [&call](const PeerPointer& peer) {
-        return peer->IsReachable() &&
+        return peer->IsReachable() && !peer->is_suspect &&
                peer->told.state == InstanceState::kReady &&
                std::find(call.tried.begin(), call.tried.end(),
                          peer->node.name) == call.tried.end();
@@ -537,6 +548,39 @@
   }
 }
 
+/// The node does not answer, though its link is open: the host may stand still,
+/// or the way is cut. What may run again is tried elsewhere; the rest may still
+/// be answered.
+void EntryCalls::OnSuspect(const PeerPointer& peer) {
+  std::vector<CallPointer> waiting;
+  for (const auto& [id, call] : this->calls) {
+    if (call->peer == peer && !call->is_long && call->route->is_repeatable) {
+      waiting.push_back(call);
+    }
+  }
+  for (const CallPointer& call : waiting) {
+    this->MoveFromSuspect(call);
+  }
+}
+
+void EntryCalls::MoveFromSuspect(const CallPointer& call) {
+  ++call->attempts;
+  call->may_have_run = true;
+  if (!this->MayRepeat(BootTimeNow(), *call)) {
+    // Nothing is lost by waiting on.
+    --call->attempts;
+    return;
+  }
+  if (WouldLog(kEventSentAgain)) {
+    LogEvent(kEventSentAgain, {{"request", call->head.id},
+                               {"parent", this->ParentOf(*call)},
+                               {"after", "node-silent"},
+                               {"target", call->peer->told.instance}});
+  }
+  this->DropAttempt(call);
+  this->Attempt(call);
+}
+
 void EntryCalls::FinishFailed(const CallPointer& call, CallReason reason) {
   this->Finish(call);
   if (!call->may_have_run) {
@@ -578,7 +622,7 @@
 }
 
 void EntryCalls::Finish(const CallPointer& call) {
-  call->peer.reset();
+  Assign(call, nullptr);
   this->calls.erase(call->id);
   this->ends.erase({call->end.count, call->id});
   call->exchange->on_gone = nullptr;
@@ -662,6 +706,7 @@
     room.targets.push_back(std::move(target));
   }
   std::vector<control::ServiceRoom> services;
+  services.reserve(rooms.size());
   for (auto& [service, room] : rooms) {
     services.push_back(std::move(room));
   }
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -368,6 +368,10 @@
   return in.IsGood();
 }
 
+void AppendPing(std::string& out) {
+  const Writer writer(FrameType::kPing, out);
+}
+
 void AppendSeen(std::uint64_t sequence, std::string& out) {
   Writer writer(FrameType::kSeen, out);
   writer.Put(sequence);
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -23,6 +23,10 @@
 constexpr Millis kSilent{2200};
 /// A tick that comes this late means that the host was suspended or starved.
 constexpr Millis kSuspended{1000};
+/// Silence with calls out after which a node is asked, and after which it is
+/// suspect: three round trips of a busy node, and two unanswered questions.
+constexpr Millis kAskAfter{300};
+constexpr Millis kSuspectAfter{700};
 constexpr Millis kDialTimeout{1000};
 constexpr Millis kFirstDialWait{100};
 constexpr Millis kLastDialWait{2000};
@@ -90,6 +94,7 @@
                                     FormatAddress(this->settings.peer_address) +
                                     ": " + error.message());
   }
+  this->last_tick = BootTimeNow();
   this->Accept();
   return {};
 }
@@ -264,6 +269,11 @@
     this->events.on_policy(std::string(frame.payload.substr(4)));
     return;
   }
+  if (frame.type == FrameType::kPing) {
+    Append(this->events.make_state(), link->Out());
+    link->FlushSoon();
+    return;
+  }
   if (frame.type == FrameType::kSeen) {
     std::uint64_t sequence = 0;
     if (DecodeSeen(frame.payload, sequence)) {
@@ -275,6 +285,7 @@
 }
 
 void PeerTable::OnDialledFrame(const PeerPointer& peer, const RawFrame& frame) {
+  peer->is_suspect = false;
   switch (frame.type) {
     case FrameType::kHello: {
       HelloFrame hello;
@@ -335,6 +346,7 @@
   peer->link->Close();
   peer->link.reset();
   peer->is_greeted = false;
+  peer->is_suspect = false;
   peer->lost_at = BootTimeNow();
   peer->next_dial = peer->lost_at + peer->dial_wait;
   LogEvent(kEventLinkLost, {{"peer", peer->node.name}});
@@ -421,6 +433,29 @@
   }
 }
 
+/// A node that is asked and says nothing is not sent more; it may only stand
+/// still, so the link stays for a while.
+void PeerTable::CheckSilence(Millis now, const PeerPointer& peer) {
+  const Millis silence = now - peer->link->LastReceived();
+  if (peer->outstanding == 0 || silence < kAskAfter || !peer->is_greeted) {
+    return;
+  }
+  if (now - peer->pinged >= kAskAfter) {
+    peer->pinged = now;
+    AppendPing(peer->link->Out());
+    peer->link->FlushSoon();
+  }
+  if (silence >= kSuspectAfter && !peer->is_suspect &&
+      now >= this->patient_until) {
+    peer->is_suspect = true;
+    LogEvent(kEventLinkSilent,
+             {{"peer", peer->node.name},
+              {"silence_ms", std::to_string(silence.count)},
+              {"calls_out", std::to_string(peer->outstanding)}});
+    this->events.on_suspect(peer);
+  }
+}
+
 void PeerTable::Tick(Millis now) {
   if (now - this->last_tick > kSuspended) {
     // This host stood still; what arrived meanwhile is still to be read.
@@ -445,6 +480,7 @@
       }
       continue;
     }
+    this->CheckSilence(now, peer);
     if (now >= this->patient_until &&
         now - peer->link->LastReceived() > kSilent) {
       LogEvent(kEventLinkSilent, {{"peer", peer->node.name}});
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -72,6 +72,9 @@
   events.on_lost = [this](const PeerPointer& peer) {
     this->entry.OnLinkLost(peer);
   };
+  events.on_suspect = [this](const PeerPointer& peer) {
+    this->entry.OnSuspect(peer);
+  };
   events.on_state = [this](const PeerPointer& peer, bool is_first) {
     if (is_first) {
       this->OnState(peer);
--- a/libs/relay/src/target_pool.cc
+++ b/libs/relay/src/target_pool.cc
@@ -34,7 +34,7 @@
                                 TargetEvents events) {
   std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
   while (!idle.empty()) {
-    const std::shared_ptr<TargetConnection> last = idle.back();
+    std::shared_ptr<TargetConnection> last = idle.back();
     const bool is_stale = !last->IsOpen() || now >= last->IdleUntil();
     const bool is_too_old =
         !request.is_repeatable && now - last->IdleSince() > kFreshIdle;
@@ -49,9 +49,8 @@
     last->Use(std::move(request), std::move(events));
     return last;
   }
-  const std::shared_ptr<TargetConnection> fresh =
-      std::make_shared<TargetConnection>(this->state, this->state->loop,
-                                         this->state->names);
+  std::shared_ptr<TargetConnection> fresh = std::make_shared<TargetConnection>(
+      this->state, this->state->loop, this->state->names);
   ++this->state->connects;
   this->state->connecting.push_back(fresh);
   fresh->Open(now, this->state->address, std::move(request), std::move(events));
--- a/test/process/relay_faults_test.cc
+++ b/test/process/relay_faults_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <thread>
 
 #include "test/support/relay_cluster.h"
@@ -153,5 +154,35 @@
   REQUIRE(whole == 8);
 }
 
+TEST_CASE("a host that stands still delays what may run again by a second") {
+  Pair pair(24620, "frozen");
+  pair.cluster.Instance(0).SetWork(200);
+  pair.cluster.Instance(1).SetWork(200);
+  std::atomic<int> whole{0};
+  std::vector<std::thread> callers;
+  const auto before = std::chrono::steady_clock::now();
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&, i]() {
+      whole += pair.Get("z" + std::to_string(i)).status == 200 ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  pair.cluster.Node(0).Signal(SIGSTOP);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  const auto took = std::chrono::steady_clock::now() - before;
+  REQUIRE(whole == 8);
+  REQUIRE(took < std::chrono::milliseconds(2000));
+  // New requests go elsewhere at once.
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(pair.Get("n" + std::to_string(i)).status == 200);
+  }
+  pair.cluster.Node(0).Signal(SIGCONT);
+  REQUIRE(Soon([&]() {
+    return pair.cluster.Metric(2, "almondlink_open_targets") == 3.0;
+  }));
+}
+
 }  // namespace
 }  // namespace almondlink::test
