--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -123,6 +123,9 @@
   /// Where metrics and the state are read, ip:port; the admin address then
   /// answers readiness checks only.
   Endpoint metrics_address;
+  /// Where other nodes reach the peer address, ip:port, if that is not the
+  /// address itself.
+  Endpoint advertise_address;
   /// Addresses of other hosts, ip:port separated by commas, whose nodes are
   /// asked for others when the store cannot be read.
   std::string seeds;
--- a/libs/config/src/setting.cc
+++ b/libs/config/src/setting.cc
@@ -22,22 +22,25 @@
 constexpr std::array<Unit, 3> kSizeUnits = {
     {{"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}}};
 
-/// Parses digits and one of `units`.
+/// Parses a number and one of `units`. A fraction must give a whole number of
+/// the smallest unit: 1.5s, not 1.5ms.
 template <std::size_t kCount>
 Result<std::int64_t> ParseWithUnit(const std::string& text,
                                    const std::array<Unit, kCount>& units,
                                    const char* allowed) {
-  std::int64_t number = 0;
+  /// Whole numbers up to here are exact in a double.
+  constexpr double kLargest = 9007199254740992.0;
+  double number = 0;
   const char* end = text.data() + text.size();
   const std::from_chars_result parsed =
-      std::from_chars(text.data(), end, number);
+      std::from_chars(text.data(), end, number, std::chars_format::fixed);
   const std::string unit(parsed.ptr, end);
   if (parsed.ec == std::errc() && number >= 0) {
     for (const Unit& known : units) {
-      const bool fits =
-          number <= std::numeric_limits<std::int64_t>::max() / known.factor;
+      const double value = number * static_cast<double>(known.factor);
+      const bool fits = value <= kLargest && value == std::floor(value);
       if (unit == known.name && fits) {
-        return number * known.factor;
+        return static_cast<std::int64_t>(value);
       }
     }
   }
@@ -177,9 +180,9 @@
 }
 
 Result<Millis> ParseDuration(const std::string& text) {
-  BOOST_LEAF_AUTO(
-      count, ParseWithUnit(text, kDurationUnits,
-                           "allowed: a whole number with ms, s, min or h"));
+  BOOST_LEAF_AUTO(count,
+                  ParseWithUnit(text, kDurationUnits,
+                                "allowed: a number with ms, s, min or h"));
   return Millis{count};
 }
 
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -81,6 +81,8 @@
        SettingSlot{&settings.relay.report_address}},
       {"relay", "metrics_address", "", 0.0, 1000000000000000.0,
        SettingSlot{&settings.relay.metrics_address}},
+      {"relay", "advertise_address", "", 0.0, 1000000000000000.0,
+       SettingSlot{&settings.relay.advertise_address}},
       {"relay", "seeds", "", 0.0, 1000000000000000.0,
        SettingSlot{&settings.relay.seeds}},
       {"relay", "drain", "2s", 100.0, 600000.0,
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -24,6 +24,8 @@
   ServiceName service;
   boost::asio::ip::tcp::endpoint caller_address;
   boost::asio::ip::tcp::endpoint peer_address;
+  /// What other nodes are told of it; the address itself if not set.
+  boost::asio::ip::tcp::endpoint advertised_address;
   boost::asio::ip::tcp::endpoint target_address;
   HeaderNames names;
   /// Time after which a leaving instance must get nothing more.
--- /dev/null
+++ b/libs/relay/src/entry_attempts.cc
@@ -0,0 +1,317 @@
+#include <algorithm>
+#include <vector>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/control/placement.h"
+#include "almondlink/relay/entry_calls.h"
+#include "entry_call.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+constexpr std::uint32_t kServerError = 500;
+/// Sends that were turned back before the target, for one request.
+constexpr std::uint32_t kMostMoves = 4;
+/// A root request may wait this part of its latency target for a slot: longer
+/// would use up the time that its calls need.
+constexpr std::int64_t kRootWaitPart = 2;
+/// Time left below which a request is not sent once more.
+constexpr Millis kLeastForRepeat{30};
+
+}  // namespace
+
+void EntryCalls::Assign(const CallPointer& call, const PeerPointer& peer) {
+  if (call->peer != nullptr) {
+    --call->peer->outstanding;
+  }
+  call->peer = peer;
+  if (peer != nullptr) {
+    ++peer->outstanding;
+  }
+}
+
+PeerPointer EntryCalls::ChoosePeer(const Call& call) {
+  const std::vector<PeerPointer>& members = this->peers.Of(call.service);
+  std::vector<control::PlaceView> views;
+  views.reserve(members.size());
+  for (const PeerPointer& peer : members) {
+    control::PlaceView view;
+    view.is_own_zone = peer->told.zone == this->settings.zone.Value();
+    view.is_open = peer->IsReachable() && !peer->is_suspect &&
+                   !peer->told.is_stopping &&
+                   peer->told.state == InstanceState::kReady;
+    view.is_tried = std::find(call.tried.begin(), call.tried.end(),
+                              peer->node.name) != call.tried.end();
+    view.slots = std::max(1U, peer->told.slots);
+    view.told_load = peer->told.running + peer->told.waiting;
+    view.sent_since = peer->sent_since;
+    view.work_ms = peer->told.work_ms;
+    view.health = peer->health;
+    views.push_back(view);
+  }
+  const control::PlaceDraws draws{this->Draw(), this->Draw(), this->Draw(),
+                                  this->Draw()};
+  const Millis now = BootTimeNow();
+  std::optional<std::size_t> place = control::ChoosePlace(views, now, draws);
+  if (!place.has_value()) {
+    // A target that leaves still serves for a while; better than nobody.
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      views[i].is_open = members[i]->IsReachable() &&
+                         members[i]->told.state == InstanceState::kDraining;
+    }
+    place = control::ChoosePlace(views, now, draws);
+  }
+  return place.has_value() ? members[*place] : nullptr;
+}
+
+void EntryCalls::Attempt(const CallPointer& call) {
+  const PeerPointer peer = this->ChoosePeer(*call);
+  if (peer == nullptr) {
+    this->FinishFailed(call, CallReason::kNoInstance);
+    return;
+  }
+  this->SendTo(call, peer);
+}
+
+void EntryCalls::SendTo(const CallPointer& call, const PeerPointer& peer) {
+  const Millis now = BootTimeNow();
+  const Millis left = call->deadline - now;
+  if (left <= Millis{0}) {
+    this->FinishFailed(call, CallReason::kDeadline);
+    return;
+  }
+  // An id is used for one attempt only: a late answer of an earlier one finds
+  // nobody.
+  if (call->attempts + call->moves > 0) {
+    this->calls.erase(call->id);
+    this->ends.erase({call->end.count, call->id});
+    call->id = ++this->last_id;
+    this->calls.emplace(call->id, call);
+    this->ends.emplace(call->end.count, call->id);
+  }
+  Assign(call, peer);
+  call->tried.push_back(peer->node.name);
+  call->chosen_load =
+      peer->told.running + peer->told.waiting + peer->sent_since;
+  call->chosen_slots = peer->told.slots;
+  call->chosen_age = now - peer->told_at;
+  ++peer->sent_since;
+  control::NoteSent(now, peer->health);
+  CallFrame frame;
+  frame.id = call->id;
+  frame.sent_ms = static_cast<std::uint64_t>(now.count);
+  frame.left_ms = static_cast<std::uint32_t>(left.count);
+  const Millis root_wait{call->route->latency_target.count / kRootWaitPart};
+  frame.wait_ms = static_cast<std::uint32_t>(
+      call->is_root ? std::min(left, root_wait).count : left.count);
+  frame.is_repeatable = call->route->is_repeatable;
+  frame.is_repeat = call->info.is_repeat || call->attempts > 0;
+  frame.depth = call->info.depth;
+  frame.priority = call->info.priority;
+  frame.root_route = call->info.root_route;
+  frame.instance = peer->told.instance;
+  frame.caller_service = this->settings.service.Value();
+  frame.request_id = call->head.id;
+  frame.method = call->head.method;
+  frame.target = call->head.target;
+  frame.fields = call->head.fields;
+  frame.body = call->body;
+  control::RepeatAllowance& allowance = this->allowances[call->service];
+  if (call->attempts == 0) {
+    control::NoteRequest(this->Repeats(), now, allowance);
+    if (call->info.is_repeat) {
+      control::NoteRepeat(this->Repeats(), now, allowance);
+    }
+  }
+  if (peer->is_self) {
+    this->served.OnCall(kOwnNode, frame, Millis{0});
+    return;
+  }
+  Append(frame, peer->link->Out());
+  peer->link->FlushSoon();
+}
+
+control::RepeatRules EntryCalls::Repeats() const {
+  control::RepeatRules rules = this->settings.repeats;
+  rules.nodes = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(this->peers.All().size()));
+  return rules;
+}
+
+void EntryCalls::OnAnswer(const PeerPointer& peer, const AnswerFrame& frame) {
+  peer->told.running = frame.running;
+  peer->told.waiting = frame.waiting;
+  peer->sent_since = 0;
+  const auto found = this->calls.find(frame.id);
+  if (found == this->calls.end() || found->second->peer != peer) {
+    return;
+  }
+  const CallPointer call = found->second;
+  const bool is_failure = frame.outcome == CallOutcome::kBroken ||
+                          frame.reason == CallReason::kConnectFailed ||
+                          frame.outcome == CallOutcome::kRefusedByTarget;
+  if (control::NoteHealth(BootTimeNow(), is_failure, peer->health)) {
+    LogEvent(kEventTargetSetAside,
+             {{"target", peer->told.instance}, {"node", peer->node.name}});
+  }
+  if (frame.outcome != CallOutcome::kAnswered) {
+    this->OnFailedAttempt(call, frame.outcome, frame.reason);
+    return;
+  }
+  const bool may_repeat = frame.status >= kServerError && !frame.has_more &&
+                          call->route->is_repeatable;
+  if (may_repeat) {
+    ++call->attempts;
+    call->may_have_run = true;
+    if (this->MayRepeat(BootTimeNow(), *call)) {
+      LogEvent(kEventSentAgain,
+               {{"request", call->head.id},
+                {"parent", this->ParentOf(*call)},
+                {"after", "status " + std::to_string(frame.status)},
+                {"target", peer->told.instance}});
+      this->Attempt(call);
+      return;
+    }
+  }
+  this->PassAnswer(call, frame);
+}
+
+bool EntryCalls::MayRepeat(Millis now, const Call& call) {
+  if (call.attempts >= call.route->attempts ||
+      call.deadline - now < kLeastForRepeat) {
+    return false;
+  }
+  const std::vector<PeerPointer>& members = this->peers.Of(call.service);
+  const bool has_other = std::any_of(
+      members.begin(), members.end(), [&call](const PeerPointer& peer) {
+        return peer->IsReachable() && !peer->is_suspect &&
+               peer->told.state == InstanceState::kReady &&
+               std::find(call.tried.begin(), call.tried.end(),
+                         peer->node.name) == call.tried.end();
+      });
+  if (!has_other) {
+    return false;
+  }
+  // A run that makes calls repeats them too, so it takes so much less of the
+  // bound that the sum over all services of a chain stays within it.
+  control::RepeatRules rules = this->Repeats();
+  double calls_per_run = 0;
+  for (const PeerPointer& peer : members) {
+    calls_per_run = std::max(calls_per_run, peer->told.calls_per_run);
+  }
+  rules.used_part /= 1 + calls_per_run;
+  if (!control::TakeRepeat(rules, now, this->allowances[call.service])) {
+    return false;
+  }
+  ++this->counters.repeats;
+  return true;
+}
+
+void EntryCalls::OnFailedAttempt(const CallPointer& call,
+                                 CallOutcome outcome,
+                                 CallReason reason) {
+  const Millis now = BootTimeNow();
+  const std::string instance =
+      call->peer == nullptr ? std::string() : call->peer->told.instance;
+  bool goes_on = false;
+  if (outcome == CallOutcome::kNotSent) {
+    const bool is_final =
+        reason == CallReason::kDeadline || reason == CallReason::kFull;
+    ++call->moves;
+    goes_on = !is_final && call->moves <= kMostMoves;
+    this->counters.moved += goes_on ? 1 : 0;
+  } else {
+    ++call->attempts;
+    const bool may_have_run = outcome == CallOutcome::kBroken;
+    call->may_have_run = call->may_have_run || may_have_run;
+    goes_on = (!may_have_run || call->route->is_repeatable) &&
+              reason != CallReason::kTimeout && this->MayRepeat(now, *call);
+  }
+  const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
+  if (WouldLog(event)) {
+    LogEvent(event,
+             {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
+              {"after", ToString(reason)},
+              {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
+              {"target", instance},
+              {"attempts", std::to_string(call->attempts)},
+              {"load", std::to_string(call->chosen_load)},
+              {"slots", std::to_string(call->chosen_slots)},
+              {"told_age_ms", std::to_string(call->chosen_age.count)},
+              {"left_ms", std::to_string((call->deadline - now).count)}});
+  }
+  if (goes_on) {
+    this->Attempt(call);
+    return;
+  }
+  this->FinishFailed(call, reason);
+}
+
+void EntryCalls::OnLinkLost(const PeerPointer& peer) {
+  std::vector<CallPointer> lost;
+  for (const auto& [id, call] : this->calls) {
+    if (call->peer == peer) {
+      lost.push_back(call);
+    }
+  }
+  for (const CallPointer& call : lost) {
+    if (call->is_long) {
+      const CallerExchangePointer exchange = call->exchange;
+      this->Finish(call);
+      exchange->EndLong(true);
+      continue;
+    }
+    this->OnFailedAttempt(call, CallOutcome::kBroken, CallReason::kLinkLost);
+  }
+}
+
+/// The node does not answer, though its link is open: the host may stand still,
+/// or the way is cut. What may run again is tried elsewhere; the rest may still
+/// be answered.
+void EntryCalls::OnSuspect(const PeerPointer& peer) {
+  std::vector<CallPointer> waiting;
+  for (const auto& [id, call] : this->calls) {
+    if (call->peer == peer && !call->is_long && call->route->is_repeatable) {
+      waiting.push_back(call);
+    }
+  }
+  for (const CallPointer& call : waiting) {
+    this->MoveFromSuspect(call);
+  }
+}
+
+void EntryCalls::MoveFromSuspect(const CallPointer& call) {
+  ++call->attempts;
+  call->may_have_run = true;
+  if (!this->MayRepeat(BootTimeNow(), *call)) {
+    // Nothing is lost by waiting on.
+    --call->attempts;
+    return;
+  }
+  if (WouldLog(kEventSentAgain)) {
+    LogEvent(kEventSentAgain, {{"request", call->head.id},
+                               {"parent", this->ParentOf(*call)},
+                               {"after", "node-silent"},
+                               {"target", call->peer->told.instance}});
+  }
+  this->DropAttempt(call);
+  this->Attempt(call);
+}
+
+/// Ends the attempt that is out, at the target too.
+void EntryCalls::DropAttempt(const CallPointer& call) {
+  const PeerPointer peer = call->peer;
+  if (peer == nullptr) {
+    return;
+  }
+  if (peer->is_self) {
+    this->served.OnCancel(kOwnNode, call->id);
+  } else if (peer->link != nullptr) {
+    AppendCancel(call->id, peer->link->Out());
+    peer->link->FlushSoon();
+  }
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/entry_call.h
@@ -0,0 +1,45 @@
+#ifndef ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
+#define ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
+
+#include <string>
+#include <vector>
+
+#include "almondlink/relay/entry_calls.h"
+
+namespace almondlink::relay {
+
+/// One request of a caller from its arrival to its answer. EntryCalls is in
+/// three units: entry_calls.cc (what comes in and whether it is let in),
+/// entry_attempts.cc (where it is sent, and again), entry_ends.cc (its answer).
+struct EntryCalls::Call {
+  std::uint32_t id = 0;
+  RequestHead head;
+  std::string body;
+  CallerExchangePointer exchange;
+  policy::RouteTablePointer table;
+  const policy::Route* route = nullptr;
+  std::string service;
+  bool is_root = true;
+  RunInfo info;
+  Millis arrived;
+  /// When the caller stops waiting, and when the route does.
+  Millis deadline;
+  Millis end;
+  LatencyMs started;
+  // The attempt that is out, if any.
+  PeerPointer peer;
+  std::vector<std::string> tried;
+  /// Sends that a target got; sends that were turned back before it.
+  std::uint32_t attempts = 0;
+  std::uint32_t moves = 0;
+  bool may_have_run = false;
+  bool is_long = false;
+  /// What the target was chosen by, for the log.
+  std::uint32_t chosen_load = 0;
+  std::uint32_t chosen_slots = 0;
+  Millis chosen_age;
+};
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
--- /dev/null
+++ b/libs/relay/src/entry_ends.cc
@@ -0,0 +1,177 @@
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/relay/entry_calls.h"
+#include "entry_call.h"
+
+namespace almondlink::relay {
+
+namespace {
+
+constexpr std::uint32_t kBadGateway = 502;
+constexpr std::uint32_t kUnavailable = 503;
+constexpr std::uint32_t kGatewayTimeout = 504;
+constexpr double kMillisPerSecond = 1000;
+constexpr double kMicrosPerMilli = 1000;
+
+std::string_view StatusText(std::uint32_t status) {
+  switch (status) {
+    case kBadGateway:
+      return "Bad Gateway";
+    case kGatewayTimeout:
+      return "Gateway Timeout";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+}  // namespace
+
+void EntryCalls::PassAnswer(const CallPointer& call, const AnswerFrame& frame) {
+  ++this->counters.answered;
+  const double took = PreciseNow().count - call->started.count;
+  this->added.Add(LatencyMs{took - frame.work_us / kMicrosPerMilli});
+  if (WouldLog(kEventAnswered)) {
+    LogEvent(kEventAnswered,
+             {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
+              {"route", call->route->name},
+              {"target", call->peer->told.instance},
+              {"status", std::to_string(frame.status)},
+              {"attempts", std::to_string(call->attempts + 1)},
+              {"load", std::to_string(call->chosen_load)},
+              {"slots", std::to_string(call->chosen_slots)},
+              {"told_age_ms", std::to_string(call->chosen_age.count)},
+              {"version", std::to_string(call->table->version)},
+              {"took_ms", std::to_string(took)}});
+  }
+  if (!frame.has_more) {
+    const CallerExchangePointer exchange = call->exchange;
+    this->Finish(call);
+    exchange->Answer(frame.status, frame.status_text, frame.fields, frame.body);
+    return;
+  }
+  call->is_long = true;
+  this->ends.erase({call->end.count, call->id});
+  const std::weak_ptr<Call> weak = call;
+  call->exchange->on_taken = [this, weak](std::size_t bytes) {
+    const CallPointer open = weak.lock();
+    if (open == nullptr || open->peer == nullptr) {
+      return;
+    }
+    if (open->peer->is_self) {
+      this->served.OnWindow(kOwnNode, open->id,
+                            static_cast<std::uint32_t>(bytes));
+    } else if (open->peer->link != nullptr) {
+      Append(WindowFrame{open->id, static_cast<std::uint32_t>(bytes)},
+             open->peer->link->Out());
+      open->peer->link->FlushSoon();
+    }
+  };
+  call->exchange->BeginLong(frame.status, frame.status_text, frame.fields,
+                            frame.body);
+}
+
+void EntryCalls::OnPart(const PeerPointer& peer, const DataFrame& frame) {
+  const auto found = this->calls.find(frame.id);
+  if (found == this->calls.end() || found->second->peer != peer) {
+    return;
+  }
+  const CallPointer call = found->second;
+  call->exchange->Part(frame.body);
+  if (frame.is_last) {
+    const CallerExchangePointer exchange = call->exchange;
+    this->Finish(call);
+    exchange->EndLong(frame.is_broken);
+  }
+}
+
+void EntryCalls::FinishFailed(const CallPointer& call, CallReason reason) {
+  this->Finish(call);
+  if (!call->may_have_run) {
+    this->RefuseNotRun(call, reason, this->RetryAfter(*call));
+    return;
+  }
+  const bool is_late =
+      reason == CallReason::kTimeout || reason == CallReason::kDeadline;
+  const std::uint32_t status = is_late ? kGatewayTimeout : kBadGateway;
+  ++(is_late ? this->counters.timed_out : this->counters.unknown);
+  LogEvent(kEventOutcomeUnknown, {{"request", call->head.id},
+                                  {"parent", this->ParentOf(*call)},
+                                  {"status", std::to_string(status)},
+                                  {"reason", ToString(reason)},
+                                  {"route", call->route->name}});
+  call->exchange->Answer(status, StatusText(status), "", "");
+}
+
+void EntryCalls::RefuseNotRun(const CallPointer& call,
+                              CallReason reason,
+                              Millis wait) {
+  ++this->counters.not_run;
+  // A refusal at entry has a line of its own.
+  const bool is_new = call->id != 0 || call->route == nullptr;
+  if (is_new && WouldLog(kEventNotRun)) {
+    LogEvent(
+        kEventNotRun,
+        {{"request", call->head.id},
+         {"parent", this->ParentOf(*call)},
+         {"reason", call->table == nullptr ? "no-policy" : ToString(reason)},
+         {"service", call->service},
+         {"retry_after_ms", std::to_string(wait.count)}});
+  }
+  std::array<char, 40> field{};
+  std::snprintf(field.data(), field.size(), "Retry-After: %.2f\r\n",
+                static_cast<double>(wait.count) / kMillisPerSecond);
+  call->exchange->Answer(kUnavailable, StatusText(kUnavailable), field.data(),
+                         "");
+}
+
+void EntryCalls::Finish(const CallPointer& call) {
+  Assign(call, nullptr);
+  this->calls.erase(call->id);
+  this->ends.erase({call->end.count, call->id});
+  call->exchange->on_gone = nullptr;
+}
+
+void EntryCalls::Abandon(const CallPointer& call) {
+  ++this->counters.cancelled;
+  if (WouldLog(kEventCallerLeft)) {
+    LogEvent(
+        kEventCallerLeft,
+        {{"request", call->head.id},
+         {"parent", this->ParentOf(*call)},
+         {"route", call->route->name},
+         {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
+  }
+  this->DropAttempt(call);
+  this->Finish(call);
+}
+
+void EntryCalls::TimeOut(const CallPointer& call) {
+  // A call that is out may be running: only its node could tell.
+  call->may_have_run = call->may_have_run || call->peer != nullptr;
+  this->DropAttempt(call);
+  this->FinishFailed(call, CallReason::kTimeout);
+}
+
+void EntryCalls::Sweep(Millis now) {
+  while (!this->ends.empty() && this->ends.begin()->first <= now.count) {
+    const std::uint32_t id = this->ends.begin()->second;
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+      this->ends.erase(this->ends.begin());
+      continue;
+    }
+    this->TimeOut(CallPointer(found->second));
+  }
+}
+
+void EntryCalls::EndAll() {
+  while (!this->calls.empty()) {
+    this->TimeOut(CallPointer(this->calls.begin()->second));
+  }
+}
+
+}  // namespace almondlink::relay
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -71,7 +71,10 @@
       self(std::make_shared<Peer>()) {
   this->self->is_self = true;
   this->self->node.name = settings_in.node.Value();
-  this->self->node.address = FormatAddress(settings_in.peer_address);
+  const bool is_advertised = settings_in.advertised_address.port() != 0;
+  this->self->node.address =
+      FormatAddress(is_advertised ? settings_in.advertised_address
+                                  : settings_in.peer_address);
   this->self->node.incarnation = incarnation;
   this->peers.push_back(this->self);
 }
--- /dev/null
+++ b/test/soak/main.cc
@@ -0,0 +1,76 @@
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "test/soak/soak.h"
+
+/// soak: runs randomized faults and prints each seed with its verdict.
+///
+/// Exit code 1 if a promise was broken. `--cases` runs the seeds that a file
+/// lists, one a line with its cause behind a `#`.
+
+DEFINE_uint64(seed, 0, "first seed; 0 draws a fresh one");
+DEFINE_int32(count, 1, "number of seeds, one after the other");
+DEFINE_int32(seconds, 8, "time with faults, for each seed");
+DEFINE_int32(base_port, 26000, "first port; 100 are used");
+DEFINE_string(cases, "", "file of seeds to run first");
+
+namespace {
+
+/// True if all promises held.
+bool RunOne(std::uint64_t seed) {
+  almondlink::test::SoakOptions options;
+  options.seed = seed;
+  options.seconds = FLAGS_seconds;
+  options.base_port = FLAGS_base_port;
+  const almondlink::test::SoakResult result =
+      almondlink::test::RunSoak(options);
+  std::printf(
+      "seed %llu: %zu events, %d whole, %d refused, %d other, %zu broken\n",
+      static_cast<unsigned long long>(seed), result.events.size(),
+      result.answered, result.refused, result.failed, result.broken.size());
+  if (!result.broken.empty()) {
+    for (const std::string& event : result.events) {
+      std::printf("  %s\n", event.c_str());
+    }
+    for (const std::string& broken : result.broken) {
+      std::printf("  BROKEN %s\n", broken.c_str());
+    }
+  }
+  std::fflush(stdout);
+  return result.broken.empty();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  bool is_good = true;
+  if (!FLAGS_cases.empty()) {
+    std::ifstream file(FLAGS_cases);
+    if (!file) {
+      std::fprintf(stderr, "%s: cannot be read\n", FLAGS_cases.c_str());
+      return 2;
+    }
+    std::string line;
+    while (std::getline(file, line)) {
+      std::istringstream words(line);
+      std::uint64_t seed = 0;
+      if (words >> seed) {
+        is_good = RunOne(seed) && is_good;
+      }
+    }
+  }
+  std::uint64_t seed = FLAGS_seed;
+  if (seed == 0) {
+    seed = std::random_device()() % 1'000'000 + 1;
+  }
+  for (int i = 0; i < FLAGS_count; ++i) {
+    is_good = RunOne(seed + static_cast<std::uint64_t>(i)) && is_good;
+  }
+  return is_good ? 0 : 1;
+}
--- /dev/null
+++ b/test/soak/soak.cc
@@ -0,0 +1,372 @@
+#include "test/soak/soak.h"
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "test/support/relay_cluster.h"
+
+namespace almondlink::test {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using standins::InstanceFault;
+using standins::StoreFault;
+using Millis = std::chrono::milliseconds;
+
+constexpr int kNodes = 6;
+constexpr int kCallers = 10;
+/// Time within which a leaving instance must get nothing more, as in the nodes'
+/// settings.
+constexpr Millis kDrain{2000};
+/// After the last fault everything is back within this time.
+constexpr Millis kRecovery{6000};
+constexpr Millis kMeasured{1500};
+constexpr double kServedAfter = 0.95;
+constexpr int kBodySize = 20;
+
+/// What a caller was told of one request.
+struct Told {
+  std::string id;
+  bool is_unsafe = false;
+  unsigned status = 0;
+};
+
+/// One soak from its start to its verdict.
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options_in)
+      : options(options_in),
+        random(options_in.seed),
+        cluster(options_in.base_port,
+                "soak-" + std::to_string(options_in.base_port)) {}
+
+  SoakResult Run() {
+    this->Build();
+    for (int i = 0; i < kCallers; ++i) {
+      this->callers.emplace_back([this, i]() { this->CallLoop(i); });
+    }
+    this->Disturb();
+    this->Restore();
+    std::this_thread::sleep_for(kRecovery);
+    this->CheckRecovery();
+    this->is_stopped = true;
+    for (std::thread& caller : this->callers) {
+      caller.join();
+    }
+    this->CheckRuns();
+    return std::move(this->result);
+  }
+
+ private:
+  /// Two front, two shop (each request calls stock once), two stock.
+  void Build() {
+    this->cluster.UseProxies();
+    const char* const services[kNodes] = {"front", "shop", "stock",
+                                          "front", "shop", "stock"};
+    for (int node = 0; node < kNodes; ++node) {
+      standins::FakeInstance::Spec spec;
+      spec.service = services[node];
+      spec.id = this->NextInstance(node);
+      spec.work_ms = 5;
+      spec.body_size = kBodySize;
+      if (spec.service == "shop") {
+        spec.calls = {{"soak.example", "/stock/1"}};
+      }
+      this->service_of[node] = spec.service;
+      this->cluster.Add(spec, node < kNodes / 2 ? "zone-a" : "zone-b");
+    }
+    this->Configure();
+    this->cluster.WaitReady();
+  }
+
+  void Configure() {
+    this->version += 1 + this->Draw(3);
+    std::vector<RouteSpec> routes = {
+        {"shop", "soak.example", "/shop/", "shop"},
+        {"pay", "soak.example", "/pay/", "stock", "unsafe", 5000, 1000, 0},
+        {"stock", "soak.example", "/stock/", "stock"}};
+    routes.push_back({"v", "soak.example",
+                      "/v" + std::to_string(this->version) + "/", "stock"});
+    this->cluster.Configure(this->version, routes);
+  }
+
+  std::string NextInstance(int node) {
+    return "i-" + std::to_string(node) + "-" +
+           std::to_string(++this->instances);
+  }
+
+  std::uint64_t Draw(std::uint64_t below) {
+    return std::uniform_int_distribution<std::uint64_t>(
+        0, below - 1)(this->random);
+  }
+
+  void Note(const std::string& what) {
+    const auto at =
+        std::chrono::duration_cast<Millis>(Clock::now() - this->started);
+    this->result.events.push_back(std::to_string(at.count()) + " ms " + what);
+  }
+
+  void Break(const std::string& what) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->result.broken.push_back(what);
+  }
+
+  // ---- traffic ----
+
+  /// Requests one after the other on a connection that is kept until its node
+  /// closes it.
+  void CallLoop(int caller) {
+    const int node = caller % kNodes;
+    standins::BlockingHttp client(
+        {"127.0.0.1",
+         static_cast<std::uint16_t>(this->cluster.CallerPort(node))},
+        Millis(7000));
+    for (int i = 0; !this->is_stopped; ++i) {
+      Told told;
+      told.id = std::to_string(caller) + "-" + std::to_string(i);
+      told.is_unsafe = i % 3 == 0;
+      standins::PlainRequest request;
+      request.method = told.is_unsafe ? "POST" : "GET";
+      request.target = told.is_unsafe ? "/pay/1"
+                       : i % 3 == 1   ? "/shop/1"
+                                      : "/stock/1";
+      request.headers["Host"] = "soak.example";
+      request.headers["Request-Id"] = told.id;
+      request.headers["Deadline-Ms"] = "3000";
+      const standins::PlainAnswer answer = client.Send(request);
+      told.status = answer.status;
+      this->Check(told, answer);
+      if (answer.status != 200) {
+        std::this_thread::sleep_for(Millis(20));
+      }
+    }
+  }
+
+  void Check(const Told& told, const standins::PlainAnswer& answer) {
+    if (answer.status == 200) {
+      const bool is_whole = answer.body == std::string(kBodySize, 'b') &&
+                            answer.Header("request-id") == told.id &&
+                            !answer.Header("response-seal").empty();
+      if (!is_whole) {
+        this->Break("MIXED: " + told.id + " got another answer");
+      }
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++(answer.status == 200   ? this->result.answered
+       : answer.status == 503 ? this->result.refused
+                              : this->result.failed);
+    ++(answer.status == 200 ? this->recent_whole : this->recent_other);
+    this->told.push_back(told);
+  }
+
+  // ---- faults ----
+
+  void Disturb() {
+    this->started = Clock::now();
+    const auto until =
+        this->started + std::chrono::seconds(this->options.seconds);
+    while (Clock::now() < until) {
+      const int node = static_cast<int>(this->Draw(kNodes));
+      switch (this->Draw(12)) {
+        case 0:
+          this->KillNode(node);
+          break;
+        case 1:
+          this->StopNode(node);
+          break;
+        case 2:
+          this->PauseNode(node);
+          break;
+        case 3:
+          this->Note("store fault");
+          this->cluster.Store().SetFaults(
+              static_cast<StoreFault>(1 + this->Draw(4)));
+          break;
+        case 4:
+          this->Note("store refuses node " + std::to_string(node));
+          this->cluster.Store().SetFault(
+              node, static_cast<StoreFault>(this->Draw(4)));
+          break;
+        case 5:
+          this->Note("store is whole and forgets");
+          this->cluster.Store().SetFaults(StoreFault::kNone);
+          this->cluster.Store().Compact("keyed.op");
+          break;
+        case 6:
+          this->FaultInstance(node);
+          break;
+        case 7:
+          this->DrainInstance(node);
+          break;
+        case 8:
+          this->Note("policy " + std::to_string(this->version));
+          this->Configure();
+          break;
+        case 9:
+          this->Note("links to node " + std::to_string(node) + " go silent");
+          this->Draw(2) == 0 ? this->cluster.Proxy(node).Silence()
+                             : this->cluster.Proxy(node).SilenceOneWay();
+          break;
+        case 10:
+          this->Note("links to node " + std::to_string(node) + " are cut");
+          this->cluster.Proxy(node).Cut();
+          break;
+        default:
+          this->Note("links to node " + std::to_string(node) + " are slow");
+          this->cluster.Proxy(node).SetDelay(
+              static_cast<int>(this->Draw(3) * 20));
+          break;
+      }
+      std::this_thread::sleep_for(Millis(100 + this->Draw(600)));
+    }
+  }
+
+  void KillNode(int node) {
+    this->Note("kill node " + std::to_string(node));
+    this->cluster.Node(node).Kill();
+    this->cluster.StartNode(node);
+  }
+
+  void StopNode(int node) {
+    this->Note("stop node " + std::to_string(node));
+    this->cluster.Node(node).Signal(SIGTERM);
+    const int code = this->cluster.Node(node).Wait();
+    if (code != 0) {
+      this->Break("EXIT: node " + std::to_string(node) + " stopped with " +
+                  std::to_string(code));
+    }
+    this->cluster.StartNode(node);
+  }
+
+  void PauseNode(int node) {
+    this->Note("pause node " + std::to_string(node));
+    this->cluster.Node(node).Signal(SIGSTOP);
+    std::this_thread::sleep_for(Millis(200 + this->Draw(1500)));
+    this->cluster.Node(node).Signal(SIGCONT);
+  }
+
+  void FaultInstance(int node) {
+    const auto fault = static_cast<InstanceFault>(this->Draw(7));
+    this->Note("instance " + std::to_string(node) + " fault " +
+               std::to_string(static_cast<int>(fault)));
+    this->cluster.Instance(node).SetFault(fault);
+  }
+
+  /// The instance leaves, serves on for a while, and another takes its place.
+  void DrainInstance(int node) {
+    this->Note("instance " + std::to_string(node) + " leaves");
+    standins::FakeInstance& leaving = this->cluster.Instance(node);
+    leaving.SetReports(false);
+    const unsigned status = this->Draw(2) == 0
+                                ? leaving.Report("draining", 1'000'000)
+                                : leaving.Leave();
+    const auto acknowledged = Clock::now();
+    std::this_thread::sleep_for(kDrain + Millis(300));
+    if (status == 200) {
+      for (const standins::SeenRequest& seen : leaving.Seen()) {
+        if (seen.at > acknowledged + kDrain) {
+          this->Break("DRAIN: " + seen.id + " reached a leaving instance");
+        }
+      }
+    }
+    this->Collect(node);
+    this->cluster.ReplaceInstance(node, this->NextInstance(node));
+  }
+
+  void Restore() {
+    this->Note("everything is whole again");
+    this->cluster.Store().SetFaults(StoreFault::kNone);
+    for (int node = 0; node < kNodes; ++node) {
+      this->cluster.Proxy(node).SetDelay(0);
+      this->cluster.Instance(node).SetFault(InstanceFault::kNone);
+    }
+    this->Configure();
+  }
+
+  // ---- checks ----
+
+  void CheckRecovery() {
+    for (int node = 0; node < kNodes; ++node) {
+      const double version =
+          this->cluster.Metric(node, "almondlink_policy_version").value_or(-1);
+      if (version != static_cast<double>(this->version)) {
+        this->Break("CONFIG: node " + std::to_string(node) +
+                    " has policy version " + std::to_string(version));
+      }
+    }
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->recent_whole = 0;
+      this->recent_other = 0;
+    }
+    std::this_thread::sleep_for(kMeasured);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const int all = this->recent_whole + this->recent_other;
+    if (this->recent_whole < kServedAfter * all || all == 0) {
+      this->result.broken.push_back(
+          "RECOVER: " + std::to_string(this->recent_whole) + " of " +
+          std::to_string(all) + " whole after the last fault");
+    }
+  }
+
+  /// Takes over what an instance saw before it goes.
+  void Collect(int node) {
+    for (const standins::SeenRequest& seen :
+         this->cluster.Instance(node).Seen()) {
+      ++this->runs[seen.id];
+      const bool is_stock = this->service_of[node] == "stock";
+      const bool is_allowed = seen.target == "/shop/1"
+                                  ? this->service_of[node] == "shop"
+                                  : is_stock;
+      if (!is_allowed) {
+        this->Break("ROUTE: " + seen.id + " ran at " + this->service_of[node]);
+      }
+    }
+  }
+
+  void CheckRuns() {
+    for (int node = 0; node < kNodes; ++node) {
+      this->Collect(node);
+    }
+    for (const Told& entry : this->told) {
+      const int runs = this->runs[entry.id];
+      if (entry.is_unsafe && runs > 1) {
+        this->Break("TWICE: " + entry.id + " ran " + std::to_string(runs));
+      }
+      if (entry.is_unsafe && entry.status == 503 && runs > 0) {
+        this->Break("REFUSED: " + entry.id + " was told not run and ran");
+      }
+    }
+  }
+
+  SoakOptions options;
+  std::mt19937_64 random;
+  RelayCluster cluster;
+  SoakResult result;
+  Clock::time_point started = Clock::now();
+  std::map<int, std::string> service_of;
+  std::map<std::string, int> runs;
+  std::vector<Told> told;
+  std::vector<std::thread> callers;
+  std::mutex mutex;
+  std::atomic<bool> is_stopped{false};
+  std::uint64_t version = 0;
+  int instances = 0;
+  int recent_whole = 0;
+  int recent_other = 0;
+};
+
+}  // namespace
+
+SoakResult RunSoak(const SoakOptions& options) {
+  Soak soak(options);
+  return soak.Run();
+}
+
+}  // namespace almondlink::test
--- a/test/support/relay.cc
+++ b/test/support/relay.cc
@@ -1,6 +1,7 @@
 #include "test/support/relay.h"
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 namespace almondlink::test {
@@ -15,12 +16,17 @@
   /// Carries bytes one way until an end closes.
   static void Carry(const std::shared_ptr<Pair>& pair,
                     tcp::socket& from,
-                    tcp::socket& to) {
+                    tcp::socket& to,
+                    const std::atomic<bool>& is_silent,
+                    const std::atomic<int>& delay_ms) {
     std::array<char, 16384> buffer{};
     boost::system::error_code error;
     while (!error) {
       const std::size_t size = from.read_some(asio::buffer(buffer), error);
-      if (!error && !pair->is_silent) {
+      if (!error && delay_ms > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+      }
+      if (!error && !is_silent) {
         asio::write(to, asio::buffer(buffer.data(), size), error);
       }
     }
@@ -35,7 +41,8 @@
 
   tcp::socket near;
   tcp::socket far;
-  std::atomic<bool> is_silent{false};
+  std::atomic<bool> is_silent_out{false};
+  std::atomic<bool> is_silent_back{false};
 };
 
 Relay::Relay(std::uint16_t port, std::uint16_t to)
@@ -62,12 +69,20 @@
     }
     auto pair = std::make_shared<Pair>(std::move(near), this->context);
     pair->far.connect({asio::ip::make_address("127.0.0.1"), this->to}, error);
+    if (error) {
+      // Nobody there: the caller sees a close, as it would without the relay.
+      continue;
+    }
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->pairs.push_back(pair);
-    this->threads.emplace_back(
-        [pair]() { Pair::Carry(pair, pair->near, pair->far); });
-    this->threads.emplace_back(
-        [pair]() { Pair::Carry(pair, pair->far, pair->near); });
+    this->threads.emplace_back([this, pair]() {
+      Pair::Carry(pair, pair->near, pair->far, pair->is_silent_out,
+                  this->delay_ms);
+    });
+    this->threads.emplace_back([this, pair]() {
+      Pair::Carry(pair, pair->far, pair->near, pair->is_silent_back,
+                  this->delay_ms);
+    });
     ++this->accepted;
   }
 }
@@ -75,7 +90,15 @@
 void Relay::Silence() {
   const std::lock_guard<std::mutex> guard(this->mutex);
   for (const std::shared_ptr<Pair>& pair : this->pairs) {
-    pair->is_silent = true;
+    pair->is_silent_out = true;
+    pair->is_silent_back = true;
+  }
+}
+
+void Relay::SilenceOneWay() {
+  const std::lock_guard<std::mutex> guard(this->mutex);
+  for (const std::shared_ptr<Pair>& pair : this->pairs) {
+    pair->is_silent_out = true;
   }
 }
 
--- a/test/support/relay.h
+++ b/test/support/relay.h
@@ -22,8 +22,13 @@
 
   /// Connections open now carry nothing any more.
   void Silence();
+  /// Of connections open now, nothing goes from the callers' side to the other
+  /// any more; the other way still works.
+  void SilenceOneWay();
   /// Closes connections open now.
   void Cut();
+  /// Delays all that is carried from now on.
+  void SetDelay(int milliseconds) { this->delay_ms = milliseconds; }
   /// Connections accepted so far.
   int Accepted() const { return this->accepted.load(); }
 
@@ -35,6 +40,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   const std::uint16_t to;
   std::atomic<int> accepted{0};
+  std::atomic<int> delay_ms{0};
   std::mutex mutex;
   std::vector<std::shared_ptr<Pair>> pairs;
   std::vector<std::thread> threads;
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -16,6 +16,7 @@
 constexpr int kMetricsPort = 4;
 constexpr int kInstancePort = 5;
 constexpr int kStorePort = 6;
+constexpr int kProxyPort = 7;
 
 std::string At(int port) {
   return "127.0.0.1:" + std::to_string(port);
@@ -98,6 +99,9 @@
       << "\n[relay]\nenabled = true\nreport_address = "
       << At(this->PortOf(node, kReportPort))
       << "\nmetrics_address = " << At(this->PortOf(node, kMetricsPort))
+      << (this->has_proxies
+              ? "\nadvertise_address = " + At(this->PortOf(node, kProxyPort))
+              : std::string())
       << "\ndrain = 2s\ngrace = 6s\nrepeat_fixed = 40\n"
       << "[logging]\nlevel = info\n";
 }
@@ -113,6 +117,11 @@
   Entry entry;
   entry.spec = spec;
   entry.zone = zone;
+  if (this->has_proxies) {
+    entry.proxy = std::make_unique<Relay>(
+        static_cast<std::uint16_t>(this->PortOf(node, kProxyPort)),
+        static_cast<std::uint16_t>(this->PortOf(node, kPeerPort)));
+  }
   this->nodes.push_back(std::move(entry));
   this->WriteSettings(node, spec.service);
   this->StartNode(node);
@@ -121,6 +130,13 @@
   return node;
 }
 
+void RelayCluster::ReplaceInstance(int node, const std::string& id) {
+  Entry& entry = this->nodes[Index(node)];
+  entry.instance.reset();
+  entry.spec.id = id;
+  entry.instance = std::make_unique<standins::FakeInstance>(entry.spec);
+}
+
 void RelayCluster::StartNode(int node) {
   this->nodes[Index(node)].process = std::make_unique<Process>(
       std::vector<std::string>{
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -11,6 +11,7 @@
 #include "standins/fake_instance.h"
 #include "standins/fake_store.h"
 #include "test/support/process.h"
+#include "test/support/relay.h"
 
 namespace almondlink::test {
 
@@ -40,6 +41,10 @@
   RelayCluster(int base_port, const std::string& name);
   ~RelayCluster();
 
+  /// From now on nodes reach each other through a relay that can be disturbed.
+  void UseProxies() { this->has_proxies = true; }
+  Relay& Proxy(int node) { return *this->nodes[Index(node)].proxy; }
+
   /// Adds a node and its instance; `spec` needs id and service, the ports are
   /// filled in. Returns its number.
   int Add(standins::FakeInstance::Spec spec,
@@ -49,6 +54,8 @@
   standins::FakeInstance& Instance(int node) {
     return *this->nodes[Index(node)].instance;
   }
+  /// Starts another instance in place of the one before.
+  void ReplaceInstance(int node, const std::string& id);
   /// Ends the instance and its connections.
   void EndInstance(int node) { this->nodes[Index(node)].instance.reset(); }
   standins::FakeStore& Store() { return this->store; }
@@ -82,6 +89,7 @@
     std::string zone;
     std::unique_ptr<standins::FakeInstance> instance;
     std::unique_ptr<Process> process;
+    std::unique_ptr<Relay> proxy;
   };
   static std::size_t Index(int node) { return static_cast<std::size_t>(node); }
   int PortOf(int node, int offset) const {
@@ -89,6 +97,7 @@
   }
 
   int base_port;
+  bool has_proxies = false;
   std::string folder;
   standins::FakeStore store;
   std::vector<Entry> nodes;
