--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -116,6 +116,9 @@
   /// Nodes that were reachable lately, this one included.
   std::uint32_t CountLive() const;
 
+  /// Reachable nodes that come before this one in the order of hashed names.
+  std::uint32_t OwnRank() const;
+
   /// Buffer of an accepted link, or null if it is closed.
   PeerLinkPointer Accepted(LinkId link) const;
 
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -62,6 +62,12 @@
   void Learn(const NodeAddress& node) { this->peers.Learn(node); }
   NodeAddress Self() const { return this->peers.Self(); }
 
+  /// Whether this is one of the first `count` nodes in an order that all nodes
+  /// know, of those that are reachable: for work that a few do for all.
+  bool IsAmongFirst(std::uint32_t count) const {
+    return this->peers.OwnRank() < count;
+  }
+
   /// Whether callers may be sent here.
   bool IsReady() const;
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/base/hash.h"
 
 namespace almondlink::relay {
 
@@ -376,6 +377,15 @@
       [](const PeerPointer& peer) { return peer->IsReachable(); }));
 }
 
+std::uint32_t PeerTable::OwnRank() const {
+  const std::uint64_t own = StableHash(this->self->node.name);
+  return static_cast<std::uint32_t>(std::count_if(
+      this->peers.begin(), this->peers.end(), [own](const PeerPointer& peer) {
+        return !peer->is_self && peer->IsReachable() && !peer->is_suspect &&
+               StableHash(peer->node.name) < own;
+      }));
+}
+
 PeerLinkPointer PeerTable::Accepted(LinkId link) const {
   const auto found = this->accepted.find(link);
   return found == this->accepted.end() ? nullptr : found->second.link;
