--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -91,7 +91,7 @@
             const RelaySettings& settings,
             std::uint64_t incarnation,
             PeerEvents events);
-  ~PeerTable();
+  ~PeerTable() = default;
   PeerTable(const PeerTable&) = delete;
   PeerTable& operator=(const PeerTable&) = delete;
 
@@ -120,7 +120,10 @@
   std::uint32_t OwnRank() const;
 
   /// Buffer of an accepted link, or null if it is closed.
-  PeerLinkPointer Accepted(LinkId link) const;
+  PeerLinkPointer Accepted(LinkId link) const {
+    const auto found = this->accepted.find(link);
+    return found == this->accepted.end() ? nullptr : found->second.link;
+  }
 
   void Close();
 
--- a/libs/relay/src/caller_port.cc
+++ b/libs/relay/src/caller_port.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "address.h"
 #include "caller_session.h"
 
 namespace almondlink::relay {
@@ -99,9 +100,8 @@
     acceptor.listen(kBacklog, error);
   }
   if (error) {
-    return Fail(ErrorKind::kIo,
-                "cannot listen at " + address.address().to_string() + ":" +
-                    std::to_string(address.port()) + ": " + error.message());
+    return Fail(ErrorKind::kIo, "cannot listen at " + FormatAddress(address) +
+                                    ": " + error.message());
   }
   Accept(this->state);
   return {};
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
+#include "address.h"
 #include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
 
@@ -41,24 +41,6 @@
 /// Instances remembered for each peer.
 constexpr std::size_t kMostRemembered = 16;
 
-boost::asio::ip::tcp::endpoint ParseAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  boost::system::error_code error;
-  const boost::asio::ip::address ip =
-      boost::asio::ip::make_address(text.substr(0, colon), error);
-  std::uint16_t port = 0;
-  std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-  return error ? boost::asio::ip::tcp::endpoint()
-               : boost::asio::ip::tcp::endpoint(ip, port);
-}
-
-std::string FormatAddress(const boost::asio::ip::tcp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 }  // namespace
 
 PeerTable::PeerTable(boost::asio::io_context& loop_in,
@@ -80,8 +62,6 @@
   this->peers.push_back(this->self);
 }
 
-PeerTable::~PeerTable() = default;
-
 Result<void> PeerTable::Listen() {
   boost::system::error_code error;
   this->acceptor.open(this->settings.peer_address.protocol(), error);
@@ -386,11 +366,6 @@
       }));
 }
 
-PeerLinkPointer PeerTable::Accepted(LinkId link) const {
-  const auto found = this->accepted.find(link);
-  return found == this->accepted.end() ? nullptr : found->second.link;
-}
-
 void PeerTable::TellNow() {
   const StateFrame state = this->events.make_state();
   if (this->self->told.service != state.service) {
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -32,6 +32,14 @@
 
 }  // namespace
 
+standins::FakeInstance::Spec Spec(const std::string& id,
+                                  const std::string& service) {
+  standins::FakeInstance::Spec spec;
+  spec.id = id;
+  spec.service = service;
+  return spec;
+}
+
 std::string MakeConfig(std::uint64_t version,
                        const std::vector<RouteSpec>& routes) {
   nlohmann::json rows = nlohmann::json::array();
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -30,6 +30,10 @@
   std::vector<std::pair<std::string, int>> split;
 };
 
+/// An instance with its usual behaviour.
+standins::FakeInstance::Spec Spec(const std::string& id,
+                                  const std::string& service);
+
 /// The operator's configuration with these routes.
 std::string MakeConfig(std::uint64_t version,
                        const std::vector<RouteSpec>& routes);
