Metrics by route, kind, outcome and reason; histograms; budget of repeats; store by result

Change: each request ends exactly once in RequestCounts (a refusal at entry was counted as not run too); latencies in fixed classes (Boost.Histogram); repeats left, age of the policy, suspect peers; calls to the store by purpose, result and time; names and help for each family; a fixed port for metrics. share-changed names the route instead of its number.

Test: a strict reader of the text exposition format (test/support/metrics_text), and process tests that produce each outcome and compare counts. The case in relay_explain_test that looked for single lines is replaced by them, and every test that asks for a figure now reads the whole text strictly.

--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -105,5 +105,31 @@
   REQUIRE(summary.p99 == Approx(9900).margin(100));
 }
 
+TEST_CASE("a histogram counts each sample in its class and the ones above") {
+  LatencyHistogram histogram;
+  for (const double sample : {-0.1, 0.2, 0.25, 3.0, 700.0, 99'999.0}) {
+    histogram.Add(LatencyMs{sample});
+  }
+  REQUIRE(histogram.Count() == 6);
+  REQUIRE(histogram.Sum() == Approx(100'702.45));
+  MetricText text;
+  text.Begin("wait_ms", "histogram", "Waits.");
+  text.AddHistogram("route=\"a\"", histogram);
+  const auto has = [&text](const std::string& line) {
+    return text.Text().find("almondlink_wait_ms" + line + "\n") !=
+           std::string::npos;
+  };
+  REQUIRE(has("_bucket{route=\"a\",le=\"0.25\"} 2"));
+  REQUIRE(has("_bucket{route=\"a\",le=\"0.5\"} 3"));
+  REQUIRE(has("_bucket{route=\"a\",le=\"5\"} 4"));
+  REQUIRE(has("_bucket{route=\"a\",le=\"10000\"} 5"));
+  REQUIRE(has("_bucket{route=\"a\",le=\"+Inf\"} 6"));
+  REQUIRE(has("_count{route=\"a\"} 6"));
+}
+
+TEST_CASE("a label's value cannot end its quotes") {
+  REQUIRE(EscapeLabel("a\"b\\c\nd") == "a\\\"b\\\\c\\nd");
+}
+
 }  // namespace
 }  // namespace almondlink
--- a/libs/control/include/almondlink/control/repeat_allowance.h
+++ b/libs/control/include/almondlink/control/repeat_allowance.h
@@ -47,6 +47,11 @@
                 Millis now,
                 RepeatAllowance& allowance);
 
+/// Repeats that may still be made now; below 0 if more were made than allowed.
+double RepeatsLeft(const RepeatRules& rules,
+                   Millis now,
+                   RepeatAllowance& allowance);
+
 /// Takes one repeat; false if there is none left.
 bool TakeRepeat(const RepeatRules& rules,
                 Millis now,
--- a/libs/control/src/repeat_allowance.cc
+++ b/libs/control/src/repeat_allowance.cc
@@ -40,10 +40,10 @@
   ++allowance.repeats[Advance(rules, now, allowance)];
 }
 
-bool TakeRepeat(const RepeatRules& rules,
-                Millis now,
-                RepeatAllowance& allowance) {
-  const std::size_t place = Advance(rules, now, allowance);
+double RepeatsLeft(const RepeatRules& rules,
+                   Millis now,
+                   RepeatAllowance& allowance) {
+  Advance(rules, now, allowance);
   const std::uint32_t requests =
       std::accumulate(allowance.requests.begin(), allowance.requests.end(), 0U);
   const std::uint32_t repeats =
@@ -51,10 +51,16 @@
   const double own_part =
       rules.fixed / static_cast<double>(std::max(1U, rules.nodes));
   const double bound = rules.used_part * (rules.ratio * requests + own_part);
-  if (repeats + 1 > bound) {
+  return bound - repeats;
+}
+
+bool TakeRepeat(const RepeatRules& rules,
+                Millis now,
+                RepeatAllowance& allowance) {
+  if (RepeatsLeft(rules, now, allowance) < 1) {
     return false;
   }
-  ++allowance.repeats[place];
+  NoteRepeat(rules, now, allowance);
   return true;
 }
 
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -9,13 +9,13 @@
 #include <string>
 #include <unordered_map>
 
-#include "almondlink/base/metrics.h"
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/repeat_allowance.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_port.h"
 #include "almondlink/relay/peer_table.h"
 #include "almondlink/relay/relay_settings.h"
+#include "almondlink/relay/request_counts.h"
 
 /// Requests of the callers on this host: which route, whether let in, to which
 /// target, whether once more, and the one answer.
@@ -26,20 +26,6 @@
 /// target got a byte of it or every target that did said so itself.
 namespace almondlink::relay {
 
-/// Counters for metrics; all only grow.
-struct EntryCounters {
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t refused_at_entry = 0;
-  std::uint64_t not_run = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t timed_out = 0;
-  std::uint64_t no_route = 0;
-  std::uint64_t cancelled = 0;
-  std::uint64_t repeats = 0;
-  std::uint64_t moved = 0;
-};
-
 /// Not thread safe: belongs to one loop.
 class EntryCalls {
  public:
@@ -76,9 +62,12 @@
   void EndAll();
 
   std::size_t Open() const { return this->calls.size(); }
-  const EntryCounters& Counters() const { return this->counters; }
+  const RequestCounts& Counts() const { return this->counts; }
   const control::ChainAdmission& Admission() const { return this->admission; }
-  LatencySummary AddedTime() const { return this->added.Summary(); }
+  /// Name of a route of the policy in force; its number if it is no longer in.
+  std::string RouteName(std::uint32_t key) const;
+  /// Repeats that this node may still make now, by service.
+  std::map<std::string, double> RepeatsLeft(Millis now);
 
  private:
   struct Call;
@@ -92,7 +81,7 @@
   void OnFailedAttempt(const CallPointer& call,
                        CallOutcome outcome,
                        CallReason reason);
-  bool MayRepeat(Millis now, const Call& call);
+  bool MayRepeat(Millis now, const Call& call, CallReason after);
   void MoveFromSuspect(const CallPointer& call);
   /// Moves the call to a peer, or to none, and counts.
   static void Assign(const CallPointer& call, const PeerPointer& peer);
@@ -100,6 +89,7 @@
   void RefuseNotRun(const CallPointer& call, CallReason reason, Millis wait);
   void FinishFailed(const CallPointer& call, CallReason reason);
   void Finish(const CallPointer& call);
+  void NoteEnd(const Call& call, RequestEnd end, CallReason reason);
   void DropAttempt(const CallPointer& call);
   void Abandon(const CallPointer& call);
   void TimeOut(const CallPointer& call);
@@ -124,8 +114,7 @@
   std::map<std::uint32_t, double> logged_shares;
   std::uint32_t last_id = 0;
   std::mt19937 random;
-  EntryCounters counters;
-  LatencyRecorder added;
+  RequestCounts counts;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "almondlink/base/error.h"
+#include "almondlink/base/metrics.h"
 #include "almondlink/control/instance_ledger.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_port.h"
@@ -81,8 +82,8 @@
   /// Version of the policy in force; 0 if none.
   std::uint64_t PolicyVersion() const;
 
-  /// Counters and latencies in the text exposition format.
-  std::string Metrics() const;
+  /// Appends counters and latencies in the text exposition format.
+  void WriteMetrics(MetricText& out);
 
  private:
   struct PendingAck {
@@ -113,6 +114,8 @@
   CallerPort callers;
   boost::asio::steady_timer tick_timer;
   std::string policy_text;
+  /// When the policy in force was taken.
+  Millis policy_taken;
   std::vector<PendingAck> pending_acks;
   /// Least difference between the clocks of a link's ends, to tell frames that
   /// were held up.
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -139,6 +139,15 @@
   return rules;
 }
 
+std::map<std::string, double> EntryCalls::RepeatsLeft(Millis now) {
+  const control::RepeatRules rules = this->Repeats();
+  std::map<std::string, double> left;
+  for (auto& [service, allowance] : this->allowances) {
+    left[service] = control::RepeatsLeft(rules, now, allowance);
+  }
+  return left;
+}
+
 void EntryCalls::OnAnswer(const PeerPointer& peer, const AnswerFrame& frame) {
   peer->told.running = frame.running;
   peer->told.waiting = frame.waiting;
@@ -164,7 +173,7 @@
   if (may_repeat) {
     ++call->attempts;
     call->may_have_run = true;
-    if (this->MayRepeat(BootTimeNow(), *call)) {
+    if (this->MayRepeat(BootTimeNow(), *call, CallReason::kNone)) {
       LogEvent(kEventSentAgain,
                {{"request", call->head.id},
                 {"parent", this->ParentOf(*call)},
@@ -177,7 +186,7 @@
   this->PassAnswer(call, frame);
 }
 
-bool EntryCalls::MayRepeat(Millis now, const Call& call) {
+bool EntryCalls::MayRepeat(Millis now, const Call& call, CallReason after) {
   if (call.attempts >= call.route->attempts ||
       call.deadline - now < kLeastForRepeat) {
     return false;
@@ -204,7 +213,7 @@
   if (!control::TakeRepeat(rules, now, this->allowances[call.service])) {
     return false;
   }
-  ++this->counters.repeats;
+  this->counts.NoteRepeat(*call.route, after);
   return true;
 }
 
@@ -220,13 +229,16 @@
         reason == CallReason::kDeadline || reason == CallReason::kFull;
     ++call->moves;
     goes_on = !is_final && call->moves <= kMostMoves;
-    this->counters.moved += goes_on ? 1 : 0;
+    if (goes_on) {
+      this->counts.NoteMove(*call->route, reason);
+    }
   } else {
     ++call->attempts;
     const bool may_have_run = outcome == CallOutcome::kBroken;
     call->may_have_run = call->may_have_run || may_have_run;
     goes_on = (!may_have_run || call->route->is_repeatable) &&
-              reason != CallReason::kTimeout && this->MayRepeat(now, *call);
+              reason != CallReason::kTimeout &&
+              this->MayRepeat(now, *call, reason);
   }
   const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
   if (WouldLog(event)) {
@@ -285,7 +297,7 @@
 void EntryCalls::MoveFromSuspect(const CallPointer& call) {
   ++call->attempts;
   call->may_have_run = true;
-  if (!this->MayRepeat(BootTimeNow(), *call)) {
+  if (!this->MayRepeat(BootTimeNow(), *call, CallReason::kTimeout)) {
     // Nothing is lost by waiting on.
     --call->attempts;
     return;
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -44,6 +44,17 @@
   }
 }
 
+std::string EntryCalls::RouteName(std::uint32_t key) const {
+  if (this->table != nullptr) {
+    for (const policy::Route& route : this->table->routes) {
+      if (route.key.Value() == key) {
+        return route.name;
+      }
+    }
+  }
+  return std::to_string(key);
+}
+
 std::string EntryCalls::ParentOf(const Call& call) const {
   return std::string(this->settings.parent_of(call.head.id));
 }
@@ -80,7 +91,6 @@
 void EntryCalls::OnRequest(RequestHead head,
                            std::string body,
                            const CallerExchangePointer& exchange) {
-  ++this->counters.requests;
   const CallPointer call = std::make_shared<Call>();
   call->head = std::move(head);
   call->body = std::move(body);
@@ -96,7 +106,7 @@
   const policy::RoutePart* part =
       call->route == nullptr ? nullptr : this->ChoosePart(*call->route);
   if (part == nullptr) {
-    ++this->counters.no_route;
+    this->NoteEnd(*call, RequestEnd::kNoRoute, CallReason::kNone);
     if (WouldLog(kEventNoRoute)) {
       LogEvent(kEventNoRoute,
                {{"request", call->head.id},
@@ -153,7 +163,6 @@
                      this->admission)) {
     return true;
   }
-  ++this->counters.refused_at_entry;
   const Millis wait = this->RetryAfter(*call);
   if (WouldLog(kEventRefusedAtEntry)) {
     const double share =
@@ -233,7 +242,7 @@
     if (std::abs(logged->second - state.share) >= kLoggedStep) {
       logged->second = state.share;
       LogEvent(kEventShareChanged,
-               {{"route", std::to_string(route)},
+               {{"route", this->RouteName(route)},
                 {"share", std::to_string(state.share)},
                 {"bound_by", state.bound_by},
                 {"offered_per_s", std::to_string(state.offered.per_s)}});
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::uint32_t kFirstFailure = 400;
 constexpr std::uint32_t kBadGateway = 502;
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kGatewayTimeout = 504;
@@ -30,9 +31,12 @@
 }  // namespace
 
 void EntryCalls::PassAnswer(const CallPointer& call, const AnswerFrame& frame) {
-  ++this->counters.answered;
   const double took = PreciseNow().count - call->started.count;
-  this->added.Add(LatencyMs{took - frame.work_us / kMicrosPerMilli});
+  this->counts.NoteAdded(LatencyMs{took - frame.work_us / kMicrosPerMilli});
+  this->NoteEnd(*call,
+                frame.status < kFirstFailure ? RequestEnd::kServed
+                                             : RequestEnd::kFailedByTarget,
+                CallReason::kNone);
   if (WouldLog(kEventAnswered)) {
     LogEvent(kEventAnswered,
              {{"request", call->head.id},
@@ -97,7 +101,8 @@
   const bool is_late =
       reason == CallReason::kTimeout || reason == CallReason::kDeadline;
   const std::uint32_t status = is_late ? kGatewayTimeout : kBadGateway;
-  ++(is_late ? this->counters.timed_out : this->counters.unknown);
+  this->NoteEnd(*call, is_late ? RequestEnd::kTimedOut : RequestEnd::kUnknown,
+                reason);
   LogEvent(kEventOutcomeUnknown, {{"request", call->head.id},
                                   {"parent", this->ParentOf(*call)},
                                   {"status", std::to_string(status)},
@@ -109,9 +114,11 @@
 void EntryCalls::RefuseNotRun(const CallPointer& call,
                               CallReason reason,
                               Millis wait) {
-  ++this->counters.not_run;
   // A refusal at entry has a line of its own.
   const bool is_new = call->id != 0 || call->route == nullptr;
+  this->NoteEnd(*call,
+                is_new ? RequestEnd::kNotRun : RequestEnd::kRefusedAtEntry,
+                reason);
   if (is_new && WouldLog(kEventNotRun)) {
     LogEvent(
         kEventNotRun,
@@ -128,6 +135,11 @@
                          "");
 }
 
+void EntryCalls::NoteEnd(const Call& call, RequestEnd end, CallReason reason) {
+  const LatencyMs took{PreciseNow().count - call.started.count};
+  this->counts.NoteEnd(call.route, call.is_root, end, reason, took);
+}
+
 void EntryCalls::Finish(const CallPointer& call) {
   Assign(call, nullptr);
   this->calls.erase(call->id);
@@ -136,7 +148,7 @@
 }
 
 void EntryCalls::Abandon(const CallPointer& call) {
-  ++this->counters.cancelled;
+  this->NoteEnd(*call, RequestEnd::kCallerLeft, CallReason::kNone);
   if (WouldLog(kEventCallerLeft)) {
     LogEvent(
         kEventCallerLeft,
--- /dev/null
+++ b/libs/relay/src/node_metrics.cc
@@ -0,0 +1,78 @@
+#include <algorithm>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/relay/relay_node.h"
+
+/// The metrics of a relay node (docs/OPERATIONS.md lists them).
+namespace almondlink::relay {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+
+void WriteTarget(const ServedCalls& served, MetricText& out) {
+  out.AddSingle("target_running", "gauge", "Calls at the target now.",
+                served.Running());
+  out.AddSingle("target_waiting", "gauge", "Calls that wait for a slot.",
+                served.Waiting());
+  out.AddSingle("target_slots", "gauge", "Calls that may run at once.",
+                control::UsableSlots(served.Ledger()));
+  out.AddSingle("target_connects_total", "counter",
+                "New connections to the target.",
+                static_cast<double>(served.Connects()));
+}
+
+void WriteLog(MetricText& out) {
+  const LogCounts lines = CountLogLines();
+  out.Begin("log_lines_total", "counter", "Log lines.");
+  out.Add("outcome=\"written\"", static_cast<double>(lines.written));
+  out.Add("outcome=\"left_out\"", static_cast<double>(lines.left_out));
+}
+
+void WritePeers(const PeerTable& peers, MetricText& out) {
+  const std::vector<PeerPointer>& all = peers.All();
+  const auto count = [&all](bool (*holds)(const Peer&)) {
+    return static_cast<double>(std::count_if(
+        all.begin(), all.end(),
+        [holds](const PeerPointer& peer) { return holds(*peer); }));
+  };
+  out.AddSingle("peers", "gauge", "Nodes that can be reached, with this one.",
+                peers.CountLive());
+  out.AddSingle("peers_suspect", "gauge",
+                "Nodes that are silent while calls are out.",
+                count([](const Peer& peer) { return peer.is_suspect; }));
+  out.AddSingle("open_targets", "gauge", "Targets that take calls.",
+                count([](const Peer& peer) {
+                  return peer.IsReachable() &&
+                         peer.told.state == InstanceState::kReady;
+                }));
+}
+
+}  // namespace
+
+void RelayNode::WriteMetrics(MetricText& out) {
+  const Millis now = BootTimeNow();
+  this->entry.Counts().Write(out);
+  out.Begin("repeats_left", "gauge", "Repeats that may still be made now.");
+  for (const auto& [service, left] : this->entry.RepeatsLeft(now)) {
+    out.Add("service=\"" + EscapeLabel(service) + "\"", left);
+  }
+  out.Begin("admitted_share", "gauge", "Part of the root requests let in.");
+  for (const auto& [key, share] : this->entry.Admission().routes) {
+    out.Add("route=\"" + EscapeLabel(this->entry.RouteName(key)) + "\"",
+            share.share);
+  }
+  WriteTarget(this->served, out);
+  WritePeers(this->peers, out);
+  out.AddSingle("policy_version", "gauge", "Version of the policy in force.",
+                static_cast<double>(this->PolicyVersion()));
+  if (this->PolicyVersion() != 0) {
+    out.AddSingle("policy_age_seconds", "gauge",
+                  "Time since that version is in force.",
+                  static_cast<double>((now - this->policy_taken).count) /
+                      kMillisPerSecond);
+  }
+  WriteLog(out);
+}
+
+}  // namespace almondlink::relay
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "almondlink/base/event_log.h"
-#include "almondlink/base/metrics.h"
 
 namespace almondlink::relay {
 
@@ -189,6 +188,7 @@
             {"before", std::to_string(this->PolicyVersion())},
             {"routes", std::to_string(table->routes.size())},
             {"source", source}});
+  this->policy_taken = BootTimeNow();
   this->callers.SetLimits(table->limits);
   this->entry.SetTable(std::move(table));
   this->policy_text = text;
@@ -392,53 +392,4 @@
   }
 }
 
-std::string RelayNode::Metrics() const {
-  std::string out;
-  const EntryCounters& counts = this->entry.Counters();
-  const auto add = [&out](const char* outcome, std::uint64_t value) {
-    WriteMetric(out, "requests_total",
-                std::string("outcome=\"") + outcome + "\"",
-                static_cast<double>(value));
-  };
-  add("answered", counts.answered);
-  add("refused_at_entry", counts.refused_at_entry);
-  add("not_run", counts.not_run);
-  add("unknown", counts.unknown);
-  add("timed_out", counts.timed_out);
-  add("no_route", counts.no_route);
-  add("cancelled", counts.cancelled);
-  WriteMetric(out, "repeats_total", "", static_cast<double>(counts.repeats));
-  WriteMetric(out, "moved_total", "", static_cast<double>(counts.moved));
-  const LatencySummary added = this->entry.AddedTime();
-  WriteMetric(out, "added_ms_count", "", static_cast<double>(added.count));
-  WriteMetric(out, "added_ms", "quantile=\"0.5\"", added.p50);
-  WriteMetric(out, "added_ms", "quantile=\"0.99\"", added.p99);
-  WriteMetric(out, "target_running", "", this->served.Running());
-  WriteMetric(out, "target_waiting", "", this->served.Waiting());
-  WriteMetric(out, "target_slots", "",
-              control::UsableSlots(this->served.Ledger()));
-  WriteMetric(out, "target_connects_total", "",
-              static_cast<double>(this->served.Connects()));
-  const LogCounts lines = CountLogLines();
-  WriteMetric(out, "log_lines_total", "outcome=\"written\"",
-              static_cast<double>(lines.written));
-  WriteMetric(out, "log_lines_total", "outcome=\"left_out\"",
-              static_cast<double>(lines.left_out));
-  WriteMetric(out, "peers", "", this->peers.CountLive());
-  std::uint32_t open_targets = 0;
-  for (const PeerPointer& peer : this->peers.All()) {
-    open_targets +=
-        peer->IsReachable() && peer->told.state == InstanceState::kReady ? 1
-                                                                         : 0;
-  }
-  WriteMetric(out, "open_targets", "", open_targets);
-  WriteMetric(out, "policy_version", "",
-              static_cast<double>(this->PolicyVersion()));
-  for (const auto& [route, share] : this->entry.Admission().routes) {
-    WriteMetric(out, "admitted_share",
-                "route=\"" + std::to_string(route) + "\"", share.share);
-  }
-  return out;
-}
-
 }  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/request_counts.cc
@@ -0,0 +1,108 @@
+#include "almondlink/relay/request_counts.h"
+
+#include <array>
+
+namespace almondlink::relay {
+
+namespace {
+
+/// Routes that are told apart: the product is made for some hundred. What is
+/// beyond counts as one route, so that a growing policy cannot grow the memory
+/// of a node without end.
+constexpr std::size_t kMostRoutes = 256;
+/// Keys of requests without a route, and of routes beyond the limit; no route
+/// has them, as keys are hashes and 0 means none.
+constexpr std::uint32_t kNoRouteKey = 0;
+constexpr std::uint32_t kOtherRoutesKey = 1;
+
+std::string Quoted(const char* name, const std::string& value) {
+  return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
+}
+
+}  // namespace
+
+const char* ToString(RequestEnd end) {
+  static constexpr std::array<const char*, 8> kNames = {
+      "served",    "failed_by_target", "refused_at_entry", "not_run",
+      "timed_out", "unknown",          "no_route",         "caller_left"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+RequestCounts::RouteCounts& RequestCounts::Of(const policy::Route* route) {
+  std::uint32_t key = route == nullptr ? kNoRouteKey : route->key.Value();
+  const auto known = this->routes.find(key);
+  if (known != this->routes.end()) {
+    return known->second;
+  }
+  const bool is_beyond = this->routes.size() >= kMostRoutes;
+  key = is_beyond ? kOtherRoutesKey : key;
+  RouteCounts& fresh = this->routes[key];
+  if (is_beyond) {
+    fresh.name = "others";
+  } else if (route != nullptr) {
+    fresh.name = route->name;
+    fresh.is_repeatable = route->is_repeatable;
+  }
+  return fresh;
+}
+
+void RequestCounts::NoteEnd(const policy::Route* route,
+                            bool is_root,
+                            RequestEnd end,
+                            CallReason reason,
+                            LatencyMs took) {
+  RouteCounts& counts = this->Of(route);
+  ++(is_root ? counts.roots : counts.calls)[{end, reason}];
+  counts.took.Add(took);
+}
+
+void RequestCounts::NoteRepeat(const policy::Route& route, CallReason after) {
+  ++this->Of(&route).repeats[after];
+}
+
+void RequestCounts::NoteMove(const policy::Route& route, CallReason after) {
+  ++this->Of(&route).moves[after];
+}
+
+void RequestCounts::Write(MetricText& out) const {
+  out.Begin("requests_total", "counter",
+            "Requests of callers and of targets that ended, by how.");
+  for (const auto& [key, counts] : this->routes) {
+    const std::string route =
+        Quoted("route", counts.name) + "," +
+        Quoted("kind", counts.is_repeatable ? "repeatable" : "once");
+    for (const bool is_root : {true, false}) {
+      for (const auto& [how, count] : is_root ? counts.roots : counts.calls) {
+        out.Add(route + "," + Quoted("from", is_root ? "caller" : "target") +
+                    "," + Quoted("outcome", ToString(how.first)) + "," +
+                    Quoted("reason", ToString(how.second)),
+                static_cast<double>(count));
+      }
+    }
+  }
+  const auto write_sends = [&](const char* name, const char* help,
+                               Reasons RouteCounts::*sends) {
+    out.Begin(name, "counter", help);
+    for (const auto& [key, counts] : this->routes) {
+      for (const auto& [reason, count] : counts.*sends) {
+        out.Add(Quoted("route", counts.name) + "," +
+                    Quoted("after", ToString(reason)),
+                static_cast<double>(count));
+      }
+    }
+  };
+  write_sends("repeats_total", "Sends to a second target after a failure.",
+              &RouteCounts::repeats);
+  write_sends("moved_total",
+              "Sends to another target after one turned it back unsent.",
+              &RouteCounts::moves);
+  out.Begin("request_ms", "histogram", "Time from a request to its end.");
+  for (const auto& [key, counts] : this->routes) {
+    out.AddHistogram(Quoted("route", counts.name), counts.took);
+  }
+  out.Begin("added_ms", "histogram",
+            "Time of an answered request that was not its target's.");
+  out.AddHistogram("", this->added);
+}
+
+}  // namespace almondlink::relay
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -10,6 +10,7 @@
 #include "standins/blocking_http.h"
 #include "standins/fake_instance.h"
 #include "standins/fake_store.h"
+#include "test/support/metrics_text.h"
 #include "test/support/process.h"
 #include "test/support/relay.h"
 
@@ -79,8 +80,10 @@
                              const std::string& body = "",
                              int left_ms = 5000);
   standins::PlainAnswer Ready(int node);
-  /// One figure of the metrics, or nothing; labels are part of the name.
+  /// One figure of the metrics without labels, or nothing.
   std::optional<double> Metric(int node, const std::string& name);
+  /// All of them, read strictly.
+  MetricsText Metrics(int node);
   int CallerPort(int node) const { return this->PortOf(node, 0); }
 
   std::string SettingsPath(int node) const;
