One read buffer for all connections; a node short of descriptors gives up idle callers

Counted on a trial copy: one host holds 1,390 idle connections of callers, each with a buffer of 2 KB and what its last request had grown; idle connections to targets held 8 KB each, links 16 KB. Ruled out: connections to targets opened in a surge (244 on that host), the policy's text, log buffers.

The same count showed 3,170 to 3,558 of 4,100 descriptors in use there. At the limit accept fails at once and was asked again at once: the node span and took no new caller.

Change: connections wait to be readable and read into one buffer of the thread (shared_read.h); frames are taken where they were read; idle connections keep nothing. Out of descriptors, or with more than half of them in callers' hands, the longest idle callers are closed (E622), never one with unread bytes or used within 0.3 s; when all are in work, accepting pauses.

Tests first: 'a node without free descriptors ...' failed with 117 of 120 answered after its time-outs; a first form of the change closed callers that had just connected, which the second case shows.

All 45 tests pass.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -124,6 +124,10 @@
 /// A caller left before its answer; its work was ended.
 constexpr Event kEventCallerLeft{621, Level::kInfo, "caller-left",
                                  Volume::kFailure};
+/// Idle connections of callers were closed, the longest idle first, because
+/// descriptors are short; `open` are left.
+constexpr Event kEventCallersClosed{622, Level::kWarning, "callers-closed",
+                                    Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/relay/include/almondlink/relay/peer_link.h
+++ b/libs/relay/include/almondlink/relay/peer_link.h
@@ -1,12 +1,12 @@
 #ifndef ALMONDLINK_RELAY_PEER_LINK_H_
 #define ALMONDLINK_RELAY_PEER_LINK_H_
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "almondlink/base/clock.h"
 #include "almondlink/relay/peer_frames.h"
@@ -50,13 +50,17 @@
 
  private:
   void Read();
+  void OnRead(std::string_view bytes);
+  /// Hands on all whole frames of `bytes`; what they took. False in `is_good`
+  /// if it is no frame.
+  std::size_t TakeFrames(std::string_view bytes, bool& is_good);
   void Flush();
   void Fail();
 
   boost::asio::ip::tcp::socket socket;
   const std::uint64_t id;
   LinkEvents events;
-  std::array<char, 16384> buffer;
+  /// The beginning of a frame whose rest has not come.
   std::string input;
   std::string output;
   std::size_t written = 0;
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -134,6 +135,7 @@
   };
 
   void Accept();
+  void AcceptLater();
   void Dial(Millis now, const PeerPointer& peer);
   void Adopt(const PeerPointer& peer, boost::asio::ip::tcp::socket socket);
   void OnDialledFrame(const PeerPointer& peer, const RawFrame& frame);
@@ -150,6 +152,7 @@
   const RelaySettings& settings;
   PeerEvents events;
   boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer accept_pause;
   PeerPointer self;
   std::vector<PeerPointer> peers;
   std::map<LinkId, AcceptedLink> accepted;
--- a/libs/relay/include/almondlink/relay/socket_options.h
+++ b/libs/relay/include/almondlink/relay/socket_options.h
@@ -13,6 +13,10 @@
 /// next use.
 void PrepareSocket(boost::asio::ip::tcp::socket& socket, Millis silence);
 
+/// Whether a socket could not be had because descriptors or buffers are short:
+/// the same call may succeed later, and fails at once until then.
+bool IsShortage(const boost::system::error_code& error);
+
 }  // namespace almondlink::relay
 
 #endif  // ALMONDLINK_RELAY_SOCKET_OPTIONS_H_
--- a/libs/relay/src/caller_port.cc
+++ b/libs/relay/src/caller_port.cc
@@ -1,9 +1,16 @@
 #include "almondlink/relay/caller_port.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
 #include <utility>
 #include <vector>
 
 #include "address.h"
+#include "almondlink/base/event_log.h"
+#include "almondlink/relay/socket_options.h"
 #include "caller_session.h"
 
 namespace almondlink::relay {
@@ -12,6 +19,27 @@
 
 /// Connections that wait to be accepted: a burst of one tick of all callers.
 constexpr int kBacklog = 1024;
+/// Idle connections that are closed together when descriptors are short: some
+/// more than one, so that a steady stream of new callers does not search all
+/// connections for each.
+constexpr std::size_t kCloseAtOnce = 16;
+/// A connection that was just opened or used is about to be used.
+constexpr Millis kLeastIdle{300};
+/// Time until it is tried again to accept while every descriptor is in work.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+/// Part of the descriptors that callers may use; links to other nodes and
+/// connections to the target need the rest.
+constexpr std::size_t kCallersPart = 2;
+
+/// Connections of callers above which idle ones are closed.
+std::size_t MostSessions() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return static_cast<std::size_t>(limit.rlim_cur) / kCallersPart;
+}
 
 void Accept(const std::shared_ptr<CallerPort::State>& state);
 
@@ -58,15 +86,59 @@
   }
 }
 
+std::size_t CallerPort::State::CloseLongestIdle() {
+  std::vector<std::shared_ptr<CallerSession>> idle;
+  const Millis since = BootTimeNow() - kLeastIdle;
+  for (const std::shared_ptr<CallerSession>& session : this->sessions) {
+    if (session->IsIdle() && session->LastActive() < since &&
+        !session->HasUnread()) {
+      idle.push_back(session);
+    }
+  }
+  const std::size_t count = std::min(idle.size(), kCloseAtOnce);
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<long>(count),
+                    idle.end(),
+                    [](const std::shared_ptr<CallerSession>& a,
+                       const std::shared_ptr<CallerSession>& b) {
+                      return a->LastActive() < b->LastActive();
+                    });
+  for (std::size_t i = 0; i < count; ++i) {
+    idle[i]->Close();
+  }
+  if (count > 0) {
+    LogEvent(kEventCallersClosed,
+             {{"closed", std::to_string(count)},
+              {"open", std::to_string(this->sessions.size())}});
+  }
+  return count;
+}
+
 namespace {
 
+void AcceptLater(const std::shared_ptr<CallerPort::State>& state) {
+  state->pause.expires_after(kAcceptPause);
+  state->pause.async_wait([state](boost::system::error_code error) {
+    if (!error && state->acceptor.is_open()) {
+      Accept(state);
+    }
+  });
+}
+
 void Accept(const std::shared_ptr<CallerPort::State>& state) {
   state->acceptor.async_accept([state](boost::system::error_code error,
                                        boost::asio::ip::tcp::socket socket) {
     if (!state->acceptor.is_open()) {
       return;
     }
+    if (IsShortage(error) && state->CloseLongestIdle() == 0) {
+      // All are in work: the next one waits in the kernel's queue.
+      AcceptLater(state);
+      return;
+    }
     if (!error) {
+      if (state->sessions.size() >= MostSessions()) {
+        state->CloseLongestIdle();
+      }
       const std::shared_ptr<CallerSession> session =
           std::make_shared<CallerSession>(state, std::move(socket));
       state->sessions.insert(session);
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -1,10 +1,13 @@
 #include "caller_session.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <cstdio>
 #include <utility>
 
 #include "almondlink/relay/socket_options.h"
+#include "shared_read.h"
 
 namespace almondlink::relay {
 
@@ -47,7 +50,7 @@
 }
 
 void CallerSession::CloseIfIdle() {
-  if (!this->IsBusy() && this->output.empty() && !this->has_started) {
+  if (this->IsIdle()) {
     this->Close();
   }
 }
@@ -71,17 +74,16 @@
     return;
   }
   this->is_reading = true;
-  this->socket.async_read_some(
-      boost::asio::buffer(this->buffer),
-      [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t size) {
-        self->is_reading = false;
-        self->OnRead(error, size);
-      });
+  ReadShared(this->socket, [self = this->shared_from_this()](
+                               const boost::system::error_code& error,
+                               std::string_view bytes) {
+    self->is_reading = false;
+    self->OnRead(error, bytes);
+  });
 }
 
 void CallerSession::OnRead(const boost::system::error_code& error,
-                           std::size_t size) {
+                           std::string_view bytes) {
   if (!this->socket.is_open()) {
     return;
   }
@@ -89,7 +91,7 @@
     this->Gone();
     return;
   }
-  this->input.append(this->buffer.data(), size);
+  this->input.append(bytes);
   if (!this->IsBusy() && this->output.empty()) {
     this->last_active = BootTimeNow();
     this->Parse();
@@ -273,7 +275,10 @@
     }
     return;
   }
-  if (!this->input.empty()) {
+  if (this->input.empty()) {
+    // Idle for long, perhaps: nothing is kept for it.
+    std::string().swap(this->input);
+  } else {
     boost::asio::post(this->port->loop, [self = this->shared_from_this()]() {
       if (self->socket.is_open() && !self->IsBusy()) {
         self->Parse();
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -1,7 +1,7 @@
 #ifndef ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
 #define ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
 
-#include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +23,16 @@
   void CloseIfIdle();
   void Sweep(Millis now);
   bool IsBusy() const { return this->exchange != nullptr; }
+  /// Whether it waits for a request of which nothing has come.
+  bool IsIdle() const {
+    return !this->IsBusy() && this->output.empty() && !this->has_started;
+  }
+  Millis LastActive() const { return this->last_active; }
+  /// Whether bytes have come that were not read yet.
+  bool HasUnread() const {
+    boost::system::error_code ignored;
+    return this->socket.available(ignored) > 0;
+  }
 
   // Called through the exchange.
   void WriteAnswer(std::uint32_t status,
@@ -39,7 +49,7 @@
 
  private:
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void OnRead(const boost::system::error_code& error, std::string_view bytes);
   void Parse();
   void Refuse(std::uint32_t status, std::string_view text);
   void WriteHead(std::uint32_t status,
@@ -52,7 +62,6 @@
 
   std::shared_ptr<CallerPort::State> port;
   boost::asio::ip::tcp::socket socket;
-  std::array<char, 2048> buffer;
   std::string input;
   std::optional<RequestParser> parser;
   CallerExchangePointer exchange;
@@ -77,11 +86,18 @@
       : loop(loop_in),
         names(names_in),
         handler(std::move(handler_in)),
-        acceptor(loop_in) {}
+        acceptor(loop_in),
+        pause(loop_in) {}
+
+  /// Closes the longest idle connections; the number of them.
+  std::size_t CloseLongestIdle();
+
   boost::asio::io_context& loop;
   const HeaderNames& names;
   RequestHandler handler;
   boost::asio::ip::tcp::acceptor acceptor;
+  /// Runs while no further connection can be accepted.
+  boost::asio::steady_timer pause;
   policy::CallerLimits limits;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
   bool is_closing = false;
--- a/libs/relay/src/peer_link.cc
+++ b/libs/relay/src/peer_link.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "almondlink/relay/socket_options.h"
+#include "shared_read.h"
 
 namespace almondlink::relay {
 
@@ -15,7 +16,7 @@
 /// Bytes that may wait for a slow peer: some hundred answers.
 constexpr std::size_t kMostWaiting = 16 * 1024 * 1024;
 /// Buffers that grew beyond this are given back when empty.
-constexpr std::size_t kKeptCapacity = 64 * 1024;
+constexpr std::size_t kKeptCapacity = 16 * 1024;
 
 }  // namespace
 
@@ -80,42 +81,56 @@
 }
 
 void PeerLink::Read() {
-  this->socket.async_read_some(
-      boost::asio::buffer(this->buffer),
-      [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t size) {
-        if (!self->IsOpen()) {
-          return;
-        }
-        if (error) {
-          self->Fail();
-          return;
-        }
-        self->last_received = BootTimeNow();
-        self->input.append(self->buffer.data(), size);
-        std::size_t used = 0;
-        bool is_bad = false;
-        while (self->IsOpen()) {
-          const std::optional<RawFrame> frame =
-              NextFrame(std::string_view(self->input).substr(used), is_bad);
-          if (!frame.has_value()) {
-            break;
-          }
-          self->events.on_frame(self, *frame);
-          used += frame->size;
-        }
-        if (is_bad) {
-          self->Fail();
-          return;
-        }
-        self->input.erase(0, used);
-        if (self->input.empty() && self->input.capacity() > kKeptCapacity) {
-          self->input.shrink_to_fit();
-        }
-        if (self->IsOpen()) {
-          self->Read();
-        }
-      });
+  ReadShared(this->socket, [self = this->shared_from_this()](
+                               const boost::system::error_code& error,
+                               std::string_view bytes) {
+    if (!self->IsOpen()) {
+      return;
+    }
+    if (error) {
+      self->Fail();
+      return;
+    }
+    self->OnRead(bytes);
+  });
+}
+
+std::size_t PeerLink::TakeFrames(std::string_view bytes, bool& is_good) {
+  std::size_t used = 0;
+  bool is_bad = false;
+  while (this->IsOpen()) {
+    const std::optional<RawFrame> frame = NextFrame(bytes.substr(used), is_bad);
+    if (!frame.has_value()) {
+      break;
+    }
+    this->events.on_frame(this->shared_from_this(), *frame);
+    used += frame->size;
+  }
+  is_good = !is_bad;
+  return used;
+}
+
+void PeerLink::OnRead(std::string_view bytes) {
+  this->last_received = BootTimeNow();
+  bool is_good = true;
+  if (this->input.empty()) {
+    // Mostly whole frames: they are taken where they were read.
+    const std::size_t used = this->TakeFrames(bytes, is_good);
+    this->input.append(bytes.substr(used));
+  } else {
+    this->input.append(bytes);
+    this->input.erase(0, this->TakeFrames(this->input, is_good));
+  }
+  if (!is_good) {
+    this->Fail();
+    return;
+  }
+  if (this->input.empty() && this->input.capacity() > kKeptCapacity) {
+    this->input.shrink_to_fit();
+  }
+  if (this->IsOpen()) {
+    this->Read();
+  }
 }
 
 void PeerLink::Close() {
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -1,19 +1,21 @@
 #include "almondlink/relay/peer_table.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <utility>
 
 #include "address.h"
 #include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
+#include "almondlink/relay/socket_options.h"
 
 namespace almondlink::relay {
 
 namespace {
 
 constexpr int kBacklog = 256;
+/// Time until it is tried again to accept while no descriptor is free.
+constexpr std::chrono::milliseconds kAcceptPause{100};
 /// State is told this often while the target works, and otherwise.
 constexpr Millis kTellBusy{200};
 constexpr Millis kTellIdle{1000};
@@ -51,6 +53,7 @@
       settings(settings_in),
       events(std::move(events_in)),
       acceptor(loop_in),
+      accept_pause(loop_in),
       self(std::make_shared<Peer>()) {
   this->self->is_self = true;
   this->self->node.name = settings_in.node.Value();
@@ -89,6 +92,10 @@
     if (this->is_closed || !this->acceptor.is_open()) {
       return;
     }
+    if (IsShortage(error)) {
+      this->AcceptLater();
+      return;
+    }
     if (!error) {
       LinkEvents link_events;
       link_events.on_frame = [this](const PeerLinkPointer& link,
@@ -109,6 +116,15 @@
   });
 }
 
+void PeerTable::AcceptLater() {
+  this->accept_pause.expires_after(kAcceptPause);
+  this->accept_pause.async_wait([this](boost::system::error_code error) {
+    if (!error && !this->is_closed) {
+      this->Accept();
+    }
+  });
+}
+
 void PeerTable::Learn(const NodeAddress& node) {
   if (node.name == this->self->node.name || node.address.empty()) {
     return;
@@ -484,6 +500,7 @@
   this->is_closed = true;
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
+  this->accept_pause.cancel();
   for (const PeerPointer& peer : this->peers) {
     if (peer->link != nullptr) {
       peer->link->Close();
--- a/libs/relay/src/socket_options.cc
+++ b/libs/relay/src/socket_options.cc
@@ -15,4 +15,11 @@
              sizeof(timeout));
 }
 
+bool IsShortage(const boost::system::error_code& error) {
+  return error == boost::asio::error::no_descriptors ||
+         error == boost::asio::error::no_buffer_space ||
+         error == boost::asio::error::no_memory ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 }  // namespace almondlink::relay
--- a/libs/relay/src/target_connection.cc
+++ b/libs/relay/src/target_connection.cc
@@ -6,6 +6,7 @@
 
 #include "almondlink/base/clock.h"
 #include "almondlink/relay/socket_options.h"
+#include "shared_read.h"
 
 namespace almondlink::relay {
 
@@ -118,17 +119,16 @@
     return;
   }
   this->is_reading = true;
-  this->socket.async_read_some(
-      boost::asio::buffer(this->buffer),
-      [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t size) {
-        self->is_reading = false;
-        self->OnRead(error, size);
-      });
+  ReadShared(this->socket, [self = this->shared_from_this()](
+                               const boost::system::error_code& error,
+                               std::string_view bytes) {
+    self->is_reading = false;
+    self->OnRead(error, bytes);
+  });
 }
 
 void TargetConnection::OnRead(const boost::system::error_code& error,
-                              std::size_t size) {
+                              std::string_view bytes) {
   if (!this->socket.is_open()) {
     return;
   }
@@ -148,7 +148,7 @@
     this->Fail(CallReason::kClosed);
     return;
   }
-  this->input.append(this->buffer.data(), size);
+  this->input.append(bytes);
   this->Parse();
 }
 
@@ -256,6 +256,9 @@
       this->parser->head.keep_alive_s * kMillisPerSecond - kIdleMargin;
   this->is_busy = false;
   this->events = {};
+  // Idle for seconds: nothing of the last exchange is kept.
+  std::string().swap(this->input);
+  this->request = {};
   this->idle_since = BootTimeNow();
   this->idle_until =
       this->idle_since + (stated > 0 ? Millis{stated} : kIdleDefault);
--- a/libs/relay/src/target_connection.h
+++ b/libs/relay/src/target_connection.h
@@ -1,11 +1,11 @@
 #ifndef ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
 #define ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "almondlink/relay/target_pool.h"
 
@@ -39,7 +39,7 @@
  private:
   void Write();
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void OnRead(const boost::system::error_code& error, std::string_view bytes);
   void Parse();
   /// What the parsed head says of this exchange.
   bool IsOfThisRequest() const;
@@ -51,7 +51,6 @@
   std::weak_ptr<TargetPool::State> pool;
   boost::asio::ip::tcp::socket socket;
   const HeaderNames& names;
-  std::array<char, 8192> buffer;
   std::string input;
   std::optional<AnswerParser> parser;
   TargetRequest request;
