Records of nodes are written once for each start, and none of an earlier start later

Cause: an append whose answer is lost may be done seconds later (PROTOCOL: the store). A node that repeated its record wrote it twice, and a late one of an earlier start could become the newest, which sends others to an address that is gone.

Ruled out: conditional appends (at): another node's record in between would refuse ours.

Change: the number of the start is the epoch, sequence 0. A node that is fenced (its time of day went back over a restart) takes a number above its record and writes again.

--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -110,6 +110,10 @@
 
   /// This node, in the form in which others know it.
   NodeAddress Self() const { return this->self->node; }
+  /// Later links name this number.
+  void SetIncarnation(std::uint64_t incarnation) {
+    this->self->node.incarnation = incarnation;
+  }
   const PeerPointer& SelfPeer() const { return this->self; }
   const std::vector<PeerPointer>& All() const { return this->peers; }
   /// The nodes beside targets of `service`, this one included.
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -62,6 +62,10 @@
   /// Makes another node known.
   void Learn(const NodeAddress& node) { this->peers.Learn(node); }
   NodeAddress Self() const { return this->peers.Self(); }
+  /// Numbers this start anew, above an earlier one's.
+  void SetIncarnation(std::uint64_t incarnation) {
+    this->peers.SetIncarnation(incarnation);
+  }
 
   /// Whether this is one of the first `count` nodes in an order that all nodes
   /// know, of those that are reachable: for work that a few do for all.
--- a/standins/fake_store.cc
+++ b/standins/fake_store.cc
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <boost/endian/conversion.hpp>
 #include <chrono>
 #include <cstring>
@@ -14,6 +15,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLook{20};
+/// Last answers to a producer that are given again for a repeated append.
+constexpr std::size_t kAnswersKept = 5;
+
+std::string Json(unsigned status, const nlohmann::json& body) {
+  return MakeAnswer(status, "Content-Type: application/json\r\n", body.dump());
+}
 
 template <typename Number>
 std::string BigEndian(Number number) {
@@ -96,11 +103,7 @@
   return reaction;
 }
 
-std::string FakeStore::Append(const FakeRequest& request) {
-  const std::string topic = QueryValue(std::string(request.target()), "topic");
-  std::string_view rest = request.body();
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  Topic& log = this->topics[topic];
+std::string FakeStore::AppendRecords(Topic& log, std::string_view rest) {
   const std::uint64_t offset = log.records.size();
   while (rest.size() > 4) {
     std::uint32_t size = 0;
@@ -114,9 +117,61 @@
     rest.remove_prefix(size);
   }
   this->appended.notify_all();
-  return MakeAnswer(
-      200, "Content-Type: application/json\r\n",
-      nlohmann::json({{"offset", offset}, {"end", log.records.size()}}).dump());
+  return Json(200, {{"offset", offset}, {"end", log.records.size()}});
+}
+
+std::string FakeStore::Append(const FakeRequest& request) {
+  const std::string target(request.target());
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Topic& log = this->topics[QueryValue(target, "topic")];
+  const std::string name = QueryValue(target, "producer");
+  if (name.empty()) {
+    return this->AppendRecords(log, request.body());
+  }
+  const std::uint64_t epoch = std::stoull(QueryValue(target, "epoch"));
+  const std::uint64_t sequence = std::stoull(QueryValue(target, "sequence"));
+  Producer& producer = log.producers[name];
+  if (epoch < producer.epoch) {
+    return Json(409, {{"why", "fenced"}});
+  }
+  if (epoch > producer.epoch) {
+    producer = Producer{epoch, sequence, {}};
+  }
+  const auto repeated = producer.answers.find(sequence);
+  if (repeated != producer.answers.end()) {
+    return repeated->second;
+  }
+  if (sequence != producer.next) {
+    return Json(409, {{"why", "seq"}, {"expected", producer.next}});
+  }
+  ++producer.next;
+  const std::string answer = this->AppendRecords(log, request.body());
+  producer.answers[sequence] = answer;
+  if (producer.answers.size() > kAnswersKept) {
+    producer.answers.erase(producer.answers.begin());
+  }
+  return answer;
+}
+
+void FakeStore::PutFenced(const std::string& topic,
+                          const std::string& producer,
+                          std::uint64_t epoch,
+                          const std::string& key,
+                          const std::string& value) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Topic& log = this->topics[topic];
+  log.producers[producer] = Producer{epoch, 1, {}};
+  log.records.push_back({key, value});
+  this->appended.notify_all();
+}
+
+std::size_t FakeStore::CountOf(const std::string& topic,
+                               const std::string& key) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const std::vector<Record>& records = this->topics[topic].records;
+  return static_cast<std::size_t>(std::count_if(
+      records.begin(), records.end(),
+      [&key](const Record& record) { return record.key == key; }));
 }
 
 std::string FakeStore::Read(const FakeRequest& request, const IsGone& is_gone) {
@@ -133,8 +188,7 @@
     this->appended.wait_for(lock, kLook);
   }
   if (from < log.first) {
-    return MakeAnswer(410, "Content-Type: application/json\r\n",
-                      nlohmann::json({{"first", log.first}}).dump());
+    return Json(410, {{"first", log.first}});
   }
   std::string body =
       BigEndian<std::uint64_t>(log.records.size()) + BigEndian(log.first);
@@ -158,11 +212,8 @@
                        {"offset", i}});
     }
   }
-  return MakeAnswer(
-      200, "Content-Type: application/json\r\n",
-      nlohmann::json(
-          {{"items", items}, {"more", false}, {"end", log.records.size()}})
-          .dump());
+  return Json(200,
+              {{"items", items}, {"more", false}, {"end", log.records.size()}});
 }
 
 void FakeStore::Put(const std::string& topic,
--- a/standins/fake_store.h
+++ b/standins/fake_store.h
@@ -48,6 +48,15 @@
   void Compact(const std::string& topic);
   /// Value of a key; empty if there is none.
   std::string Newest(const std::string& topic, const std::string& key);
+  /// Appends a record as a later start of `producer` would: earlier ones are
+  /// fenced from then on.
+  void PutFenced(const std::string& topic,
+                 const std::string& producer,
+                 std::uint64_t epoch,
+                 const std::string& key,
+                 const std::string& value);
+  /// Records with that key that were ever appended.
+  std::size_t CountOf(const std::string& topic, const std::string& key);
   /// Calls so far, by path without its query.
   std::uint64_t Calls(const std::string& path);
 
@@ -56,9 +65,16 @@
     std::string key;
     std::string value;
   };
+  /// One producer of a topic and its last answers, by sequence number.
+  struct Producer {
+    std::uint64_t epoch = 0;
+    std::uint64_t next = 0;
+    std::map<std::uint64_t, std::string> answers;
+  };
   struct Topic {
     std::uint64_t first = 0;
     std::vector<Record> records;
+    std::map<std::string, Producer> producers;
   };
   struct Door {
     std::atomic<StoreFault> fault{StoreFault::kNone};
@@ -67,6 +83,7 @@
 
   Reaction React(Door& door, const FakeRequest& request, const IsGone& is_gone);
   std::string Append(const FakeRequest& request);
+  std::string AppendRecords(Topic& log, std::string_view rest);
   std::string Read(const FakeRequest& request, const IsGone& is_gone);
   std::string ReadNewest(const FakeRequest& request);
 
--- a/test/process/relay_store_test.cc
+++ b/test/process/relay_store_test.cc
@@ -56,6 +56,36 @@
   REQUIRE(cluster.Call(0, "stock.example", "/stock/1", "x").status == 200);
 }
 
+TEST_CASE("a write whose answer was lost is done once") {
+  RelayCluster cluster(25030, "lost-once");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Store().SetFault(0, StoreFault::kLoseAnswers);
+  cluster.Configure(1, {kStock});
+  // The first try is done and not answered; later ones repeat it.
+  REQUIRE(Soon([&]() { return cluster.Store().Calls("/log-append") >= 2; }));
+  cluster.Store().SetFaults(StoreFault::kNone);
+  cluster.WaitReady();
+  REQUIRE(cluster.Store().CountOf("keyed.almondlink-nodes", "node-0") == 1);
+}
+
+TEST_CASE("a node whose clock went back takes its place in the store again") {
+  // Its last start wrote with a later time, so this one is fenced at first.
+  RelayCluster cluster(25060, "fenced");
+  cluster.Store().PutFenced(
+      "keyed.almondlink-nodes", "node-0", 4'000'000'000'000, "node-0",
+      R"({"address":"127.0.0.1:9","incarnation":4000000000000})");
+  cluster.Add(Spec("i-a", "stock"));
+  cluster.Add(Spec("i-b", "stock"));
+  cluster.Configure(1, {kStock});
+  REQUIRE(Soon([&]() {
+    return cluster.Store()
+               .Newest("keyed.almondlink-nodes", "node-0")
+               .find("4000000000001") != std::string::npos;
+  }));
+  cluster.WaitReady();
+  REQUIRE(cluster.Call(1, "stock.example", "/stock/1", "x").status == 200);
+}
+
 TEST_CASE("a store that forgets its history tells the newest all the same") {
   RelayCluster cluster(24880, "compacted");
   cluster.Add(Spec("i-a", "stock"));
