Nodes tell each other loads instead of whole states, and name a few others when they greet

Each greeting named all nodes that its sender knew, twice a link, so a start costs the cube of their number; and each node told each other one a state of some 250 bytes up to five times a second, most of it names that never change.

Change: a load frame (short numbers) follows a state until a fact changes; a greeting names 16 others, drawn anew each time; it says which frames its sender understands, so an older node is still told states. peer_table.cc keeps links, peer_news.cc what is said on them; frames of nodes and of calls have a unit each.

Tests: codecs cut at every byte, a number that never ends, a greeting of an older node.

--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -32,6 +32,8 @@
   kSeen = 9,
   /// Asks for a state at once.
   kPing = 10,
+  /// What changes all the time in a state, without the rest.
+  kLoad = 11,
 };
 
 /// What a target tells of its life; later values are never taken back for the
@@ -62,12 +64,18 @@
   NodeAddress self;
   std::string zone;
   std::string deployment;
-  /// Other nodes that the sender knows.
+  /// Some of the other nodes that the sender knows.
   std::vector<NodeAddress> others;
   /// What the sender remembers of the receiver's instances.
   std::vector<InstanceRecord> remembered;
+  /// What the sender understands: from kSpeaksLoad on, load frames.
+  std::uint32_t dialect = 0;
 };
 
+/// The dialect that knows load frames, and the one spoken here.
+constexpr std::uint32_t kSpeaksLoad = 1;
+constexpr std::uint32_t kOwnDialect = kSpeaksLoad;
+
 /// State of a node and of the target beside it.
 struct StateFrame {
   std::uint64_t policy_version = 0;
@@ -87,6 +95,26 @@
   std::vector<control::RootRate> roots;
 };
 
+/// The part of a state that changes with each call. A state of 250 bytes, told
+/// several times a second on every link, was most of what nodes say to each
+/// other; this is a third of it.
+struct LoadFrame {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  double work_ms = 0;
+  double calls_per_run = 0;
+  std::vector<control::RouteDemand> demand;
+  std::vector<control::RootRate> roots;
+};
+
+/// The load that a state tells, and a state with another load.
+LoadFrame LoadOf(const StateFrame& state);
+void ApplyLoad(LoadFrame load, StateFrame& state);
+
+/// Whether two states differ in their load at most, and in the number of the
+/// last report, which matters only for an instance that leaves.
+bool HaveSameFacts(const StateFrame& a, const StateFrame& b);
+
 /// One attempt of a request, to the node beside its target.
 struct CallFrame {
   std::uint32_t id = 0;
@@ -190,6 +218,7 @@
 
 void Append(const HelloFrame& frame, std::string& out);
 void Append(const StateFrame& frame, std::string& out);
+void Append(const LoadFrame& frame, std::string& out);
 void Append(const CallFrame& frame, std::string& out);
 void Append(const AnswerFrame& frame, std::string& out);
 void Append(const DataFrame& frame, std::string& out);
@@ -203,6 +232,7 @@
 /// Decoders; false if the payload is too short. Views point into the payload.
 bool Decode(std::string_view payload, HelloFrame& frame);
 bool Decode(std::string_view payload, StateFrame& frame);
+bool Decode(std::string_view payload, LoadFrame& frame);
 bool Decode(std::string_view payload, CallFrame& frame);
 bool Decode(std::string_view payload, AnswerFrame& frame);
 bool Decode(std::string_view payload, DataFrame& frame);
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,9 +25,10 @@
 ///
 /// Every node dials every other one and sends its calls on the link it dialled.
 /// On a link that it accepted a node tells its state: at once when something
-/// changed that callers must know, a few times a second while it works, and
-/// once a second otherwise, so that a silent link is noticed. Addresses come
-/// from outside (a directory), from peers that dial, and from their lists.
+/// changed that callers must know, and otherwise its load only, a few times a
+/// second while it works and once a second when not, so that a silent link is
+/// noticed. Addresses come from outside (a directory), from peers that dial,
+/// and from their lists.
 namespace almondlink::relay {
 
 /// One node, this one included.
@@ -136,6 +138,9 @@
   struct AcceptedLink {
     PeerLinkPointer link;
     std::string node;
+    std::uint32_t dialect = 0;
+    /// Count of the facts that were told on it last; 0: none yet.
+    std::uint64_t told_facts = 0;
   };
 
   void Accept();
@@ -146,6 +151,10 @@
   void OnAcceptedFrame(const PeerLinkPointer& link, const RawFrame& frame);
   void OnHello(const HelloFrame& hello);
   void OnState(const PeerPointer& peer, std::string_view payload);
+  void OnLoad(const PeerPointer& peer, std::string_view payload);
+  void RememberLeaving(const PeerPointer& peer);
+  void TellState(AcceptedLink& entry);
+  std::vector<NodeAddress> SomeOthers(const std::string& to);
   void LoseLink(const PeerPointer& peer);
   void SendHello(PeerLink& link, const std::string& to);
   void PassPolicy(Millis now, const PeerPointer& peer);
@@ -164,6 +173,9 @@
   /// Instances of other nodes that were told to leave, by node.
   std::map<std::string, std::map<std::string, InstanceRecord>> remembered;
   std::uint64_t next_link = 1;
+  /// Counts the changes of this node's facts.
+  std::uint64_t facts = 1;
+  std::mt19937 random;
   Millis last_told;
   Millis last_tick;
   Millis patient_until;
--- /dev/null
+++ b/libs/relay/src/frame_codec.h
@@ -0,0 +1,171 @@
+#ifndef ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
+#define ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
+
+#include <algorithm>
+#include <boost/endian/conversion.hpp>
+#include <cmath>
+#include <cstring>
+#include <string>
+#include <string_view>
+
+#include "almondlink/relay/peer_frames.h"
+
+/// Writing and reading the fields of frames (almondlink/relay/peer_frames.h).
+namespace almondlink::relay {
+
+constexpr std::size_t kHeadSize = 5;
+/// Fractions travel as whole thousandths.
+constexpr double kThousand = 1000;
+/// In short form as whole hundredths: a rate or time is not known better.
+constexpr double kHundred = 100;
+constexpr std::uint64_t kGroup = 128;
+
+/// Writes one frame; the length is filled in at the end.
+class Writer {
+ public:
+  Writer(FrameType type, std::string& out_in)
+      : out(out_in), start(out_in.size()) {
+    this->out.append(4, '\0');
+    this->out.push_back(static_cast<char>(type));
+  }
+  ~Writer() {
+    const auto size =
+        static_cast<std::uint32_t>(this->out.size() - this->start - 4);
+    const std::uint32_t wire = boost::endian::native_to_big(size);
+    std::memcpy(&this->out[this->start], &wire, sizeof(wire));
+  }
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  template <typename Number>
+  void Put(Number number) {
+    const Number wire = boost::endian::native_to_big(number);
+    this->out.append(reinterpret_cast<const char*>(&wire), sizeof(wire));
+  }
+  void PutByte(std::uint8_t byte) {
+    this->out.push_back(static_cast<char>(byte));
+  }
+  void PutText(std::string_view text) {
+    this->Put(static_cast<std::uint32_t>(text.size()));
+    this->out.append(text);
+  }
+  /// A number in groups of seven bits, the lowest first: small ones are short.
+  void PutShort(std::uint64_t number) {
+    while (number >= kGroup) {
+      this->PutByte(static_cast<std::uint8_t>(number % kGroup + kGroup));
+      number /= kGroup;
+    }
+    this->PutByte(static_cast<std::uint8_t>(number));
+  }
+  void PutShortFraction(double value) {
+    this->PutShort(static_cast<std::uint64_t>(
+        std::llround(std::max(0.0, value) * kHundred)));
+  }
+  void PutFraction(double value) {
+    this->Put(static_cast<std::uint32_t>(std::lround(value * kThousand)));
+  }
+
+ private:
+  std::string& out;
+  std::size_t start;
+};
+
+/// Reads a payload; after its end every value is empty and `is_good` false.
+class Reader {
+ public:
+  explicit Reader(std::string_view payload) : rest(payload) {}
+
+  template <typename Number>
+  void Take(Number& number) {
+    if (this->rest.size() < sizeof(number)) {
+      this->is_good = false;
+      number = 0;
+      return;
+    }
+    std::memcpy(&number, this->rest.data(), sizeof(number));
+    number = boost::endian::big_to_native(number);
+    this->rest.remove_prefix(sizeof(number));
+  }
+  std::uint8_t TakeByte() {
+    std::uint8_t byte = 0;
+    this->Take(byte);
+    return byte;
+  }
+  void TakeText(std::string_view& text) {
+    std::uint32_t size = 0;
+    this->Take(size);
+    if (size > this->rest.size()) {
+      this->is_good = false;
+      size = 0;
+    }
+    text = this->rest.substr(0, size);
+    this->rest.remove_prefix(size);
+  }
+  void TakeText(std::string& text) {
+    std::string_view view;
+    this->TakeText(view);
+    text.assign(view);
+  }
+  std::uint64_t TakeShort() {
+    constexpr int kMostBits = 63;
+    std::uint64_t number = 0;
+    for (int bits = 0; bits < kMostBits; bits += 7) {
+      const std::uint8_t byte = this->TakeByte();
+      number |= static_cast<std::uint64_t>(byte % kGroup) << bits;
+      if (byte < kGroup) {
+        return number;
+      }
+    }
+    this->is_good = false;
+    return 0;
+  }
+  double TakeShortFraction() {
+    return static_cast<double>(this->TakeShort()) / kHundred;
+  }
+  double TakeFraction() {
+    std::uint32_t value = 0;
+    this->Take(value);
+    return value / kThousand;
+  }
+  /// Entries of a list; a count that the payload cannot hold is refused.
+  std::uint32_t TakeCount() {
+    std::uint32_t count = 0;
+    this->Take(count);
+    if (count > this->rest.size()) {
+      this->is_good = false;
+      return 0;
+    }
+    return count;
+  }
+  /// The same for a count that was written short.
+  std::size_t TakeShortCount() {
+    const std::uint64_t count = this->TakeShort();
+    if (count > this->rest.size()) {
+      this->is_good = false;
+      return 0;
+    }
+    return static_cast<std::size_t>(count);
+  }
+  bool IsAtEnd() const { return this->rest.empty(); }
+  bool IsGood() const { return this->is_good; }
+
+ private:
+  std::string_view rest;
+  bool is_good = true;
+};
+
+inline void PutAddress(const NodeAddress& node, Writer& out) {
+  out.PutText(node.name);
+  out.PutText(node.address);
+  out.Put(node.incarnation);
+}
+
+inline void TakeAddress(Reader& in, NodeAddress& node) {
+  in.TakeText(node.name);
+  in.TakeText(node.address);
+  in.Take(node.incarnation);
+}
+
+}  // namespace almondlink::relay
+
+#endif  // ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -1,131 +1,19 @@
 #include "almondlink/relay/peer_frames.h"
 
 #include <array>
-#include <boost/endian/conversion.hpp>
-#include <cmath>
 #include <cstring>
 
+#include "frame_codec.h"
+
 namespace almondlink::relay {
 
 namespace {
 
-constexpr std::size_t kHeadSize = 5;
-/// Fractions travel as whole thousandths.
-constexpr double kThousand = 1000;
-
-/// Writes one frame; the length is filled in at the end.
-class Writer {
- public:
-  Writer(FrameType type, std::string& out_in)
-      : out(out_in), start(out_in.size()) {
-    this->out.append(4, '\0');
-    this->out.push_back(static_cast<char>(type));
-  }
-  ~Writer() {
-    const auto size =
-        static_cast<std::uint32_t>(this->out.size() - this->start - 4);
-    const std::uint32_t wire = boost::endian::native_to_big(size);
-    std::memcpy(&this->out[this->start], &wire, sizeof(wire));
-  }
-  Writer(const Writer&) = delete;
-  Writer& operator=(const Writer&) = delete;
-
-  template <typename Number>
-  void Put(Number number) {
-    const Number wire = boost::endian::native_to_big(number);
-    this->out.append(reinterpret_cast<const char*>(&wire), sizeof(wire));
-  }
-  void PutByte(std::uint8_t byte) {
-    this->out.push_back(static_cast<char>(byte));
-  }
-  void PutText(std::string_view text) {
-    this->Put(static_cast<std::uint32_t>(text.size()));
-    this->out.append(text);
-  }
-  void PutFraction(double value) {
-    this->Put(static_cast<std::uint32_t>(std::lround(value * kThousand)));
-  }
-
- private:
-  std::string& out;
-  std::size_t start;
-};
-
-/// Reads a payload; after its end every value is empty and `is_good` false.
-class Reader {
- public:
-  explicit Reader(std::string_view payload) : rest(payload) {}
-
-  template <typename Number>
-  void Take(Number& number) {
-    if (this->rest.size() < sizeof(number)) {
-      this->is_good = false;
-      number = 0;
-      return;
-    }
-    std::memcpy(&number, this->rest.data(), sizeof(number));
-    number = boost::endian::big_to_native(number);
-    this->rest.remove_prefix(sizeof(number));
-  }
-  std::uint8_t TakeByte() {
-    std::uint8_t byte = 0;
-    this->Take(byte);
-    return byte;
-  }
-  void TakeText(std::string_view& text) {
-    std::uint32_t size = 0;
-    this->Take(size);
-    if (size > this->rest.size()) {
-      this->is_good = false;
-      size = 0;
-    }
-    text = this->rest.substr(0, size);
-    this->rest.remove_prefix(size);
-  }
-  void TakeText(std::string& text) {
-    std::string_view view;
-    this->TakeText(view);
-    text.assign(view);
-  }
-  double TakeFraction() {
-    std::uint32_t value = 0;
-    this->Take(value);
-    return value / kThousand;
-  }
-  /// Entries of a list; a count that the payload cannot hold is refused.
-  std::uint32_t TakeCount() {
-    std::uint32_t count = 0;
-    this->Take(count);
-    if (count > this->rest.size()) {
-      this->is_good = false;
-      return 0;
-    }
-    return count;
-  }
-  bool IsGood() const { return this->is_good; }
-
- private:
-  std::string_view rest;
-  bool is_good = true;
-};
-
 constexpr std::array<const char*, 12> kReasonNames = {
     "none",       "draining",       "no-instance", "other-instance",
     "full",       "connect-failed", "deadline",    "closed",
     "bad-answer", "timeout",        "link-lost",   "link-busy"};
 
-void PutAddress(const NodeAddress& node, Writer& out) {
-  out.PutText(node.name);
-  out.PutText(node.address);
-  out.Put(node.incarnation);
-}
-
-void TakeAddress(Reader& in, NodeAddress& node) {
-  in.TakeText(node.name);
-  in.TakeText(node.address);
-  in.Take(node.incarnation);
-}
-
 }  // namespace
 
 const char* ToString(CallReason reason) {
@@ -154,100 +42,6 @@
   return frame;
 }
 
-void Append(const HelloFrame& frame, std::string& out) {
-  Writer writer(FrameType::kHello, out);
-  PutAddress(frame.self, writer);
-  writer.PutText(frame.zone);
-  writer.PutText(frame.deployment);
-  writer.Put(static_cast<std::uint32_t>(frame.others.size()));
-  for (const NodeAddress& node : frame.others) {
-    PutAddress(node, writer);
-  }
-  writer.Put(static_cast<std::uint32_t>(frame.remembered.size()));
-  for (const InstanceRecord& record : frame.remembered) {
-    writer.PutText(record.node);
-    writer.PutText(record.instance);
-    writer.Put(record.sequence);
-    writer.PutByte(static_cast<std::uint8_t>(record.state));
-  }
-}
-
-bool Decode(std::string_view payload, HelloFrame& frame) {
-  Reader in(payload);
-  TakeAddress(in, frame.self);
-  in.TakeText(frame.zone);
-  in.TakeText(frame.deployment);
-  frame.others.resize(in.TakeCount());
-  for (NodeAddress& node : frame.others) {
-    TakeAddress(in, node);
-  }
-  frame.remembered.resize(in.TakeCount());
-  for (InstanceRecord& record : frame.remembered) {
-    in.TakeText(record.node);
-    in.TakeText(record.instance);
-    in.Take(record.sequence);
-    record.state = static_cast<InstanceState>(in.TakeByte());
-  }
-  return in.IsGood();
-}
-
-void Append(const StateFrame& frame, std::string& out) {
-  Writer writer(FrameType::kState, out);
-  writer.Put(frame.policy_version);
-  writer.PutByte(frame.is_stopping ? 1 : 0);
-  writer.PutText(frame.service);
-  writer.PutText(frame.zone);
-  writer.PutText(frame.instance);
-  writer.Put(frame.sequence);
-  writer.PutByte(static_cast<std::uint8_t>(frame.state));
-  writer.Put(frame.slots);
-  writer.Put(frame.running);
-  writer.Put(frame.waiting);
-  writer.PutFraction(frame.work_ms);
-  writer.PutFraction(frame.calls_per_run);
-  writer.Put(static_cast<std::uint32_t>(frame.demand.size()));
-  for (const control::RouteDemand& entry : frame.demand) {
-    writer.Put(entry.route);
-    writer.PutFraction(entry.calls_per_s);
-    writer.PutFraction(entry.work_ms);
-  }
-  writer.Put(static_cast<std::uint32_t>(frame.roots.size()));
-  for (const control::RootRate& entry : frame.roots) {
-    writer.Put(entry.route);
-    writer.PutFraction(entry.offered_per_s);
-    writer.PutFraction(entry.let_in_per_s);
-  }
-}
-
-bool Decode(std::string_view payload, StateFrame& frame) {
-  Reader in(payload);
-  in.Take(frame.policy_version);
-  frame.is_stopping = in.TakeByte() != 0;
-  in.TakeText(frame.service);
-  in.TakeText(frame.zone);
-  in.TakeText(frame.instance);
-  in.Take(frame.sequence);
-  frame.state = static_cast<InstanceState>(in.TakeByte());
-  in.Take(frame.slots);
-  in.Take(frame.running);
-  in.Take(frame.waiting);
-  frame.work_ms = in.TakeFraction();
-  frame.calls_per_run = in.TakeFraction();
-  frame.demand.resize(in.TakeCount());
-  for (control::RouteDemand& entry : frame.demand) {
-    in.Take(entry.route);
-    entry.calls_per_s = in.TakeFraction();
-    entry.work_ms = in.TakeFraction();
-  }
-  frame.roots.resize(in.TakeCount());
-  for (control::RootRate& entry : frame.roots) {
-    in.Take(entry.route);
-    entry.offered_per_s = in.TakeFraction();
-    entry.let_in_per_s = in.TakeFraction();
-  }
-  return in.IsGood();
-}
-
 void Append(const CallFrame& frame, std::string& out) {
   Writer writer(FrameType::kCall, out);
   writer.Put(frame.id);
--- /dev/null
+++ b/libs/relay/src/peer_news.cc
@@ -0,0 +1,256 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/relay/peer_table.h"
+
+/// What nodes say to each other besides calls: who they are, their state and
+/// load, and the policy. PeerTable is in two units: peer_table.cc holds links.
+namespace almondlink::relay {
+
+namespace {
+
+/// Peers that are behind get the policy from us only after this time: most have
+/// it from its source by then.
+constexpr Millis kPolicyWait{250};
+constexpr Millis kPolicyAgain{1000};
+/// Instances remembered for each peer.
+constexpr std::size_t kMostRemembered = 16;
+/// Other nodes named in a hello. A node gets one from each that it meets, so it
+/// soon knows all: with n nodes it needs about log(n) of them.
+constexpr std::size_t kMostOthers = 16;
+
+}  // namespace
+
+/// Whom to name to `to`: a few, drawn anew each time. All of them from each to
+/// each would be the cube of the number of nodes at every start.
+std::vector<NodeAddress> PeerTable::SomeOthers(const std::string& to) {
+  std::vector<NodeAddress> known;
+  for (const PeerPointer& peer : this->peers) {
+    if (!peer->is_self && peer->link != nullptr && peer->node.name != to) {
+      known.push_back(peer->node);
+    }
+  }
+  std::vector<NodeAddress> some;
+  std::sample(known.begin(), known.end(), std::back_inserter(some), kMostOthers,
+              this->random);
+  return some;
+}
+
+void PeerTable::SendHello(PeerLink& link, const std::string& to) {
+  HelloFrame hello;
+  hello.self = this->self->node;
+  hello.zone = this->settings.zone.Value();
+  hello.deployment = this->settings.deployment;
+  hello.others = this->SomeOthers(to);
+  hello.dialect = kOwnDialect;
+  const auto known = this->remembered.find(to);
+  if (known != this->remembered.end()) {
+    for (const auto& [instance, record] : known->second) {
+      hello.remembered.push_back(record);
+    }
+  }
+  Append(hello, link.Out());
+  link.FlushSoon();
+}
+
+void PeerTable::OnHello(const HelloFrame& hello) {
+  this->Learn(hello.self);
+  for (const NodeAddress& node : hello.others) {
+    this->Learn(node);
+  }
+  for (const InstanceRecord& record : hello.remembered) {
+    this->events.on_remembered(record);
+  }
+}
+
+void PeerTable::OnAcceptedFrame(const PeerLinkPointer& link,
+                                const RawFrame& frame) {
+  if (frame.type == FrameType::kHello) {
+    HelloFrame hello;
+    if (!Decode(frame.payload, hello) ||
+        hello.deployment != this->settings.deployment) {
+      LogEvent(kEventPeerRefused, {{"node", hello.self.name}});
+      this->accepted.erase(link->Id());
+      link->Close();
+      return;
+    }
+    AcceptedLink& entry = this->accepted[link->Id()];
+    entry.node = hello.self.name;
+    entry.dialect = hello.dialect;
+    this->OnHello(hello);
+    this->SendHello(*link, hello.self.name);
+    this->TellState(entry);
+    return;
+  }
+  if (frame.type == FrameType::kPolicy && frame.payload.size() > 4) {
+    // Its text stands behind four bytes of length.
+    this->events.on_policy(std::string(frame.payload.substr(4)));
+    return;
+  }
+  if (frame.type == FrameType::kPing) {
+    const auto entry = this->accepted.find(link->Id());
+    if (entry != this->accepted.end()) {
+      this->TellState(entry->second);
+    }
+    return;
+  }
+  if (frame.type == FrameType::kSeen) {
+    std::uint64_t sequence = 0;
+    if (DecodeSeen(frame.payload, sequence)) {
+      this->events.on_seen(sequence);
+    }
+    return;
+  }
+  this->events.on_call(link, frame);
+}
+
+void PeerTable::OnDialledFrame(const PeerPointer& peer, const RawFrame& frame) {
+  peer->is_suspect = false;
+  switch (frame.type) {
+    case FrameType::kHello: {
+      HelloFrame hello;
+      if (Decode(frame.payload, hello)) {
+        if (hello.self.name != peer->node.name) {
+          // The address belongs to another node now.
+          peer->node = hello.self;
+        }
+        peer->node.incarnation = hello.self.incarnation;
+        this->OnHello(hello);
+      }
+      return;
+    }
+    case FrameType::kState:
+      this->OnState(peer, frame.payload);
+      return;
+    case FrameType::kLoad:
+      this->OnLoad(peer, frame.payload);
+      return;
+    default:
+      this->events.on_answer(peer, frame);
+  }
+}
+
+void PeerTable::OnState(const PeerPointer& peer, std::string_view payload) {
+  StateFrame state;
+  if (!Decode(payload, state)) {
+    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
+    this->LoseLink(peer);
+    return;
+  }
+  const bool is_first = !peer->is_greeted;
+  const bool is_moved = peer->told.service != state.service;
+  peer->is_greeted = true;
+  peer->dial_wait = Millis{0};
+  peer->told = std::move(state);
+  peer->told_at = BootTimeNow();
+  peer->sent_since = 0;
+  if (is_moved) {
+    this->by_service.clear();
+  }
+  this->RememberLeaving(peer);
+  this->events.on_state(peer, is_first);
+}
+
+/// What a peer tells of an instance that leaves is kept for it over a restart.
+void PeerTable::RememberLeaving(const PeerPointer& peer) {
+  if (peer->told.state != InstanceState::kDraining) {
+    return;
+  }
+  std::map<std::string, InstanceRecord>& records =
+      this->remembered[peer->node.name];
+  if (records.size() >= kMostRemembered) {
+    records.erase(records.begin());
+  }
+  records[peer->told.instance] =
+      InstanceRecord{peer->node.name, peer->told.instance, peer->told.sequence,
+                     peer->told.state};
+  AppendSeen(peer->told.sequence, peer->link->Out());
+  peer->link->FlushSoon();
+}
+
+void PeerTable::OnLoad(const PeerPointer& peer, std::string_view payload) {
+  LoadFrame load;
+  if (!Decode(payload, load)) {
+    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
+    this->LoseLink(peer);
+    return;
+  }
+  if (!peer->is_greeted) {
+    // Its state comes first; without one a load says nothing.
+    return;
+  }
+  ApplyLoad(std::move(load), peer->told);
+  peer->told_at = BootTimeNow();
+  peer->sent_since = 0;
+}
+
+/// Tells all that has changed for this link.
+void PeerTable::TellState(AcceptedLink& entry) {
+  const StateFrame state = this->events.make_state();
+  const bool is_load_only = entry.dialect >= kSpeaksLoad &&
+                            entry.told_facts == this->facts &&
+                            HaveSameFacts(state, this->self->told);
+  if (is_load_only) {
+    Append(LoadOf(state), entry.link->Out());
+  } else {
+    Append(state, entry.link->Out());
+    // Facts that are not counted yet are told again by TellNow.
+    entry.told_facts = this->facts;
+  }
+  entry.link->FlushSoon();
+}
+
+void PeerTable::TellNow() {
+  const StateFrame state = this->events.make_state();
+  if (this->self->told.service != state.service) {
+    this->by_service.clear();
+  }
+  const bool is_changed = !HaveSameFacts(state, this->self->told);
+  const bool is_leaving = state.state == InstanceState::kDraining;
+  this->facts += is_changed || is_leaving ? 1 : 0;
+  this->self->told = state;
+  this->self->told_at = BootTimeNow();
+  this->self->sent_since = 0;
+  this->last_told = this->self->told_at;
+  std::string whole;
+  std::string load;
+  for (auto& [id, entry] : this->accepted) {
+    const bool knows_facts = entry.told_facts == this->facts;
+    std::string& frame =
+        knows_facts && entry.dialect >= kSpeaksLoad ? load : whole;
+    if (frame.empty() && &frame == &load) {
+      Append(LoadOf(state), load);
+    } else if (frame.empty()) {
+      Append(state, whole);
+    }
+    entry.told_facts = this->facts;
+    entry.link->Out() += frame;
+    entry.link->FlushSoon();
+  }
+}
+
+void PeerTable::PassPolicy(Millis now, const PeerPointer& peer) {
+  const std::string& text = this->events.policy_text();
+  const bool is_behind =
+      peer->is_greeted && !text.empty() &&
+      peer->told.policy_version < this->self->told.policy_version;
+  if (!is_behind) {
+    peer->policy_sent = Millis{0};
+    return;
+  }
+  if (peer->policy_sent == Millis{0}) {
+    // A node that knows none needs it at once.
+    const bool is_empty = peer->told.policy_version == 0;
+    peer->policy_sent =
+        is_empty ? now - kPolicyAgain : now - kPolicyAgain + kPolicyWait;
+  }
+  if (now - peer->policy_sent >= kPolicyAgain) {
+    peer->policy_sent = now;
+    AppendPolicy(text, peer->link->Out());
+    peer->link->FlushSoon();
+  }
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/peer_state_frames.cc
@@ -0,0 +1,177 @@
+#include <utility>
+
+#include "almondlink/relay/peer_frames.h"
+#include "frame_codec.h"
+
+/// Frames in which nodes tell who they are and how they are.
+namespace almondlink::relay {
+
+void Append(const HelloFrame& frame, std::string& out) {
+  Writer writer(FrameType::kHello, out);
+  PutAddress(frame.self, writer);
+  writer.PutText(frame.zone);
+  writer.PutText(frame.deployment);
+  writer.Put(static_cast<std::uint32_t>(frame.others.size()));
+  for (const NodeAddress& node : frame.others) {
+    PutAddress(node, writer);
+  }
+  writer.Put(static_cast<std::uint32_t>(frame.remembered.size()));
+  for (const InstanceRecord& record : frame.remembered) {
+    writer.PutText(record.node);
+    writer.PutText(record.instance);
+    writer.Put(record.sequence);
+    writer.PutByte(static_cast<std::uint8_t>(record.state));
+  }
+  writer.Put(frame.dialect);
+}
+
+bool Decode(std::string_view payload, HelloFrame& frame) {
+  Reader in(payload);
+  TakeAddress(in, frame.self);
+  in.TakeText(frame.zone);
+  in.TakeText(frame.deployment);
+  frame.others.resize(in.TakeCount());
+  for (NodeAddress& node : frame.others) {
+    TakeAddress(in, node);
+  }
+  frame.remembered.resize(in.TakeCount());
+  for (InstanceRecord& record : frame.remembered) {
+    in.TakeText(record.node);
+    in.TakeText(record.instance);
+    in.Take(record.sequence);
+    record.state = static_cast<InstanceState>(in.TakeByte());
+  }
+  // An older node says nothing of it.
+  frame.dialect = 0;
+  if (!in.IsAtEnd()) {
+    in.Take(frame.dialect);
+  }
+  return in.IsGood();
+}
+
+LoadFrame LoadOf(const StateFrame& state) {
+  LoadFrame load;
+  load.running = state.running;
+  load.waiting = state.waiting;
+  load.work_ms = state.work_ms;
+  load.calls_per_run = state.calls_per_run;
+  load.demand = state.demand;
+  load.roots = state.roots;
+  return load;
+}
+
+void ApplyLoad(LoadFrame load, StateFrame& state) {
+  state.running = load.running;
+  state.waiting = load.waiting;
+  state.work_ms = load.work_ms;
+  state.calls_per_run = load.calls_per_run;
+  state.demand = std::move(load.demand);
+  state.roots = std::move(load.roots);
+}
+
+bool HaveSameFacts(const StateFrame& a, const StateFrame& b) {
+  return a.policy_version == b.policy_version &&
+         a.is_stopping == b.is_stopping && a.service == b.service &&
+         a.zone == b.zone && a.instance == b.instance && a.state == b.state &&
+         a.slots == b.slots;
+}
+
+void Append(const LoadFrame& frame, std::string& out) {
+  Writer writer(FrameType::kLoad, out);
+  writer.PutShort(frame.running);
+  writer.PutShort(frame.waiting);
+  writer.PutShortFraction(frame.work_ms);
+  writer.PutShortFraction(frame.calls_per_run);
+  writer.PutShort(frame.demand.size());
+  for (const control::RouteDemand& entry : frame.demand) {
+    writer.Put(entry.route);
+    writer.PutShortFraction(entry.calls_per_s);
+    writer.PutShortFraction(entry.work_ms);
+  }
+  writer.PutShort(frame.roots.size());
+  for (const control::RootRate& entry : frame.roots) {
+    writer.Put(entry.route);
+    writer.PutShortFraction(entry.offered_per_s);
+    writer.PutShortFraction(entry.let_in_per_s);
+  }
+}
+
+bool Decode(std::string_view payload, LoadFrame& frame) {
+  Reader in(payload);
+  frame.running = static_cast<std::uint32_t>(in.TakeShort());
+  frame.waiting = static_cast<std::uint32_t>(in.TakeShort());
+  frame.work_ms = in.TakeShortFraction();
+  frame.calls_per_run = in.TakeShortFraction();
+  frame.demand.resize(in.TakeShortCount());
+  for (control::RouteDemand& entry : frame.demand) {
+    in.Take(entry.route);
+    entry.calls_per_s = in.TakeShortFraction();
+    entry.work_ms = in.TakeShortFraction();
+  }
+  frame.roots.resize(in.TakeShortCount());
+  for (control::RootRate& entry : frame.roots) {
+    in.Take(entry.route);
+    entry.offered_per_s = in.TakeShortFraction();
+    entry.let_in_per_s = in.TakeShortFraction();
+  }
+  return in.IsGood();
+}
+
+void Append(const StateFrame& frame, std::string& out) {
+  Writer writer(FrameType::kState, out);
+  writer.Put(frame.policy_version);
+  writer.PutByte(frame.is_stopping ? 1 : 0);
+  writer.PutText(frame.service);
+  writer.PutText(frame.zone);
+  writer.PutText(frame.instance);
+  writer.Put(frame.sequence);
+  writer.PutByte(static_cast<std::uint8_t>(frame.state));
+  writer.Put(frame.slots);
+  writer.Put(frame.running);
+  writer.Put(frame.waiting);
+  writer.PutFraction(frame.work_ms);
+  writer.PutFraction(frame.calls_per_run);
+  writer.Put(static_cast<std::uint32_t>(frame.demand.size()));
+  for (const control::RouteDemand& entry : frame.demand) {
+    writer.Put(entry.route);
+    writer.PutFraction(entry.calls_per_s);
+    writer.PutFraction(entry.work_ms);
+  }
+  writer.Put(static_cast<std::uint32_t>(frame.roots.size()));
+  for (const control::RootRate& entry : frame.roots) {
+    writer.Put(entry.route);
+    writer.PutFraction(entry.offered_per_s);
+    writer.PutFraction(entry.let_in_per_s);
+  }
+}
+
+bool Decode(std::string_view payload, StateFrame& frame) {
+  Reader in(payload);
+  in.Take(frame.policy_version);
+  frame.is_stopping = in.TakeByte() != 0;
+  in.TakeText(frame.service);
+  in.TakeText(frame.zone);
+  in.TakeText(frame.instance);
+  in.Take(frame.sequence);
+  frame.state = static_cast<InstanceState>(in.TakeByte());
+  in.Take(frame.slots);
+  in.Take(frame.running);
+  in.Take(frame.waiting);
+  frame.work_ms = in.TakeFraction();
+  frame.calls_per_run = in.TakeFraction();
+  frame.demand.resize(in.TakeCount());
+  for (control::RouteDemand& entry : frame.demand) {
+    in.Take(entry.route);
+    entry.calls_per_s = in.TakeFraction();
+    entry.work_ms = in.TakeFraction();
+  }
+  frame.roots.resize(in.TakeCount());
+  for (control::RootRate& entry : frame.roots) {
+    in.Take(entry.route);
+    entry.offered_per_s = in.TakeFraction();
+    entry.let_in_per_s = in.TakeFraction();
+  }
+  return in.IsGood();
+}
+
+}  // namespace almondlink::relay
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -36,12 +36,6 @@
 /// A node that could not be reached for so long is no longer dialled; it dials
 /// us when it comes back.
 constexpr Millis kForgetAfter{60'000};
-/// Peers that are behind get the policy from us only after this time: most have
-/// it from its source by then.
-constexpr Millis kPolicyWait{250};
-constexpr Millis kPolicyAgain{1000};
-/// Instances remembered for each peer.
-constexpr std::size_t kMostRemembered = 16;
 
 }  // namespace
 
@@ -54,7 +48,8 @@
       events(std::move(events_in)),
       acceptor(loop_in),
       accept_pause(loop_in),
-      self(std::make_shared<Peer>()) {
+      self(std::make_shared<Peer>()),
+      random(std::random_device()()) {
   this->self->is_self = true;
   this->self->node.name = settings_in.node.Value();
   const bool is_advertised = settings_in.advertised_address.port() != 0;
@@ -216,129 +211,6 @@
   peer->link->FlushSoon();
 }
 
-void PeerTable::SendHello(PeerLink& link, const std::string& to) {
-  HelloFrame hello;
-  hello.self = this->self->node;
-  hello.zone = this->settings.zone.Value();
-  hello.deployment = this->settings.deployment;
-  for (const PeerPointer& peer : this->peers) {
-    if (!peer->is_self && peer->link != nullptr) {
-      hello.others.push_back(peer->node);
-    }
-  }
-  const auto known = this->remembered.find(to);
-  if (known != this->remembered.end()) {
-    for (const auto& [instance, record] : known->second) {
-      hello.remembered.push_back(record);
-    }
-  }
-  Append(hello, link.Out());
-  link.FlushSoon();
-}
-
-void PeerTable::OnHello(const HelloFrame& hello) {
-  this->Learn(hello.self);
-  for (const NodeAddress& node : hello.others) {
-    this->Learn(node);
-  }
-  for (const InstanceRecord& record : hello.remembered) {
-    this->events.on_remembered(record);
-  }
-}
-
-void PeerTable::OnAcceptedFrame(const PeerLinkPointer& link,
-                                const RawFrame& frame) {
-  if (frame.type == FrameType::kHello) {
-    HelloFrame hello;
-    if (!Decode(frame.payload, hello) ||
-        hello.deployment != this->settings.deployment) {
-      LogEvent(kEventPeerRefused, {{"node", hello.self.name}});
-      this->accepted.erase(link->Id());
-      link->Close();
-      return;
-    }
-    this->accepted[link->Id()].node = hello.self.name;
-    this->OnHello(hello);
-    this->SendHello(*link, hello.self.name);
-    Append(this->events.make_state(), link->Out());
-    link->FlushSoon();
-    return;
-  }
-  if (frame.type == FrameType::kPolicy && frame.payload.size() > 4) {
-    // Its text stands behind four bytes of length.
-    this->events.on_policy(std::string(frame.payload.substr(4)));
-    return;
-  }
-  if (frame.type == FrameType::kPing) {
-    Append(this->events.make_state(), link->Out());
-    link->FlushSoon();
-    return;
-  }
-  if (frame.type == FrameType::kSeen) {
-    std::uint64_t sequence = 0;
-    if (DecodeSeen(frame.payload, sequence)) {
-      this->events.on_seen(sequence);
-    }
-    return;
-  }
-  this->events.on_call(link, frame);
-}
-
-void PeerTable::OnDialledFrame(const PeerPointer& peer, const RawFrame& frame) {
-  peer->is_suspect = false;
-  switch (frame.type) {
-    case FrameType::kHello: {
-      HelloFrame hello;
-      if (Decode(frame.payload, hello)) {
-        if (hello.self.name != peer->node.name) {
-          // The address belongs to another node now.
-          peer->node = hello.self;
-        }
-        peer->node.incarnation = hello.self.incarnation;
-        this->OnHello(hello);
-      }
-      return;
-    }
-    case FrameType::kState:
-      this->OnState(peer, frame.payload);
-      return;
-    default:
-      this->events.on_answer(peer, frame);
-  }
-}
-
-void PeerTable::OnState(const PeerPointer& peer, std::string_view payload) {
-  StateFrame state;
-  if (!Decode(payload, state)) {
-    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
-    this->LoseLink(peer);
-    return;
-  }
-  const bool is_first = !peer->is_greeted;
-  const bool is_moved = peer->told.service != state.service;
-  peer->is_greeted = true;
-  peer->dial_wait = Millis{0};
-  peer->told = std::move(state);
-  peer->told_at = BootTimeNow();
-  peer->sent_since = 0;
-  if (is_moved) {
-    this->by_service.clear();
-  }
-  if (peer->told.state == InstanceState::kDraining) {
-    std::map<std::string, InstanceRecord>& records =
-        this->remembered[peer->node.name];
-    if (records.size() >= kMostRemembered) {
-      records.erase(records.begin());
-    }
-    records[peer->told.instance] =
-        InstanceRecord{peer->node.name, peer->told.instance,
-                       peer->told.sequence, peer->told.state};
-    AppendSeen(peer->told.sequence, peer->link->Out());
-    peer->link->FlushSoon();
-  }
-  this->events.on_state(peer, is_first);
-}
-
 void PeerTable::LoseLink(const PeerPointer& peer) {
   if (peer->link == nullptr) {
     return;
@@ -382,48 +254,6 @@
       }));
 }
 
-void PeerTable::TellNow() {
-  const StateFrame state = this->events.make_state();
-  if (this->self->told.service != state.service) {
-    this->by_service.clear();
-  }
-  this->self->told = state;
-  this->self->told_at = BootTimeNow();
-  this->self->sent_since = 0;
-  this->last_told = this->self->told_at;
-  if (this->accepted.empty()) {
-    return;
-  }
-  std::string frame;
-  Append(state, frame);
-  for (const auto& [id, entry] : this->accepted) {
-    entry.link->Out() += frame;
-    entry.link->FlushSoon();
-  }
-}
-
-void PeerTable::PassPolicy(Millis now, const PeerPointer& peer) {
-  const std::string& text = this->events.policy_text();
-  const bool is_behind =
-      peer->is_greeted && !text.empty() &&
-      peer->told.policy_version < this->self->told.policy_version;
-  if (!is_behind) {
-    peer->policy_sent = Millis{0};
-    return;
-  }
-  if (peer->policy_sent == Millis{0}) {
-    // A node that knows none needs it at once.
-    const bool is_empty = peer->told.policy_version == 0;
-    peer->policy_sent =
-        is_empty ? now - kPolicyAgain : now - kPolicyAgain + kPolicyWait;
-  }
-  if (now - peer->policy_sent >= kPolicyAgain) {
-    peer->policy_sent = now;
-    AppendPolicy(text, peer->link->Out());
-    peer->link->FlushSoon();
-  }
-}
-
 void PeerTable::ForgetLost(Millis now) {
   const auto is_gone = [now](const PeerPointer& peer) {
     return !peer->is_self && peer->link == nullptr && !peer->is_dialling &&
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -68,6 +68,62 @@
   REQUIRE(hello_read.remembered[0].sequence == 44);
 }
 
+TEST_CASE("a load survives the way and changes nothing else of a state") {
+  StateFrame state;
+  state.policy_version = 9;
+  state.instance = "i-9";
+  state.state = InstanceState::kReady;
+  state.slots = 43;
+  state.running = 300;
+  state.waiting = 7;
+  state.work_ms = 22.25;
+  state.calls_per_run = 1.5;
+  state.demand = {{0xfedcba98, 12'345.67, 0}};
+  state.roots = {{5, 60.01, 40}, {6, 0, 1}};
+  std::string bytes;
+  Append(LoadOf(state), bytes);
+  std::string whole;
+  Append(state, whole);
+  REQUIRE(bytes.size() * 2 < whole.size());
+  LoadFrame read;
+  REQUIRE(Decode(Only(bytes).payload, read));
+  StateFrame other = state;
+  other.running = 0;
+  other.demand.clear();
+  other.roots.clear();
+  REQUIRE(HaveSameFacts(state, other));
+  ApplyLoad(read, other);
+  std::string again;
+  Append(other, again);
+  REQUIRE(again == whole);
+  other.slots = 42;
+  REQUIRE_FALSE(HaveSameFacts(state, other));
+  const std::string_view payload = Only(bytes).payload;
+  for (std::size_t size = 0; size < payload.size(); ++size) {
+    REQUIRE_FALSE(Decode(payload.substr(0, size), read));
+  }
+}
+
+TEST_CASE("a number that never ends is refused") {
+  LoadFrame read;
+  REQUIRE_FALSE(Decode(std::string(40, '\xff'), read));
+}
+
+TEST_CASE("a hello of an older node is understood") {
+  HelloFrame hello;
+  hello.self = {"n1", "127.0.0.1:9", 12};
+  hello.dialect = kOwnDialect;
+  std::string bytes;
+  Append(hello, bytes);
+  HelloFrame read;
+  REQUIRE(Decode(Only(bytes).payload, read));
+  REQUIRE(read.dialect == kOwnDialect);
+  std::string_view older = Only(bytes).payload;
+  older.remove_suffix(sizeof(hello.dialect));
+  REQUIRE(Decode(older, read));
+  REQUIRE(read.dialect == 0);
+}
+
 TEST_CASE("a payload cut anywhere is refused, never read beyond") {
   CallFrame call;
   call.instance = "i-1";
