--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -11,28 +11,34 @@
 /// soak: runs randomized faults and prints each seed with its verdict.
 ///
 /// Exit code 1 if a promise was broken. `--cases` runs the seeds that a file
-/// lists, one a line with its cause behind a `#`.
+/// lists, one a line: the seed, the number of kinds of faults that it was drawn
+/// from, and its cause behind a `#`.
 
 DEFINE_uint64(seed, 0, "first seed; 0 draws a fresh one");
 DEFINE_int32(count, 1, "number of seeds, one after the other");
 DEFINE_int32(seconds, 8, "time with faults, for each seed");
-DEFINE_int32(base_port, 26000, "first port; 100 are used");
+DEFINE_int32(base_port, 26000, "first port; ten for each node are used");
+DEFINE_int32(nodes, 6, "nodes, each a process with an instance beside it");
 DEFINE_string(cases, "", "file of seeds to run first");
 
 namespace {
 
 /// True if all promises held.
-bool RunOne(std::uint64_t seed) {
+bool RunOne(std::uint64_t seed, std::uint64_t kinds) {
   almondlink::test::SoakOptions options;
   options.seed = seed;
+  options.kinds = kinds;
+  options.nodes = FLAGS_nodes;
   options.seconds = FLAGS_seconds;
   options.base_port = FLAGS_base_port;
   const almondlink::test::SoakResult result =
       almondlink::test::RunSoak(options);
   std::printf(
-      "seed %llu: %zu events, %d whole, %d refused, %d other, %zu broken\n",
+      "seed %llu: %zu events, %d whole, %d refused, %d other, %d repeats, "
+      "%zu broken\n",
       static_cast<unsigned long long>(seed), result.events.size(),
-      result.answered, result.refused, result.failed, result.broken.size());
+      result.answered, result.refused, result.failed, result.repeats,
+      result.broken.size());
   if (!result.broken.empty()) {
     for (const std::string& event : result.events) {
       std::printf("  %s\n", event.c_str());
@@ -60,8 +66,9 @@
     while (std::getline(file, line)) {
       std::istringstream words(line);
       std::uint64_t seed = 0;
-      if (words >> seed) {
-        is_good = RunOne(seed) && is_good;
+      std::uint64_t kinds = 0;
+      if (words >> seed >> kinds) {
+        is_good = RunOne(seed, kinds) && is_good;
       }
     }
   }
@@ -70,7 +77,9 @@
     seed = std::random_device()() % 1'000'000 + 1;
   }
   for (int i = 0; i < FLAGS_count; ++i) {
-    is_good = RunOne(seed + static_cast<std::uint64_t>(i)) && is_good;
+    is_good = RunOne(seed + static_cast<std::uint64_t>(i),
+                     almondlink::test::kFaultKinds) &&
+              is_good;
   }
   return is_good ? 0 : 1;
 }
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -1,6 +1,9 @@
 #include "test/soak/soak.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -19,8 +22,14 @@
 using standins::StoreFault;
 using Millis = std::chrono::milliseconds;
 
-constexpr int kNodes = 6;
-constexpr int kCallers = 10;
+/// Callers for each node.
+constexpr double kCallersPerNode = 1.7;
+/// Policies written one right after the other.
+constexpr int kSeries = 5;
+/// The bound on repeats, as in the nodes' settings.
+constexpr double kRepeatRatio = 0.2;
+constexpr double kRepeatFixed = 40;
+constexpr Millis kRepeatWindow{10'000};
 /// Time within which a leaving instance must get nothing more, as in the nodes'
 /// settings.
 constexpr Millis kDrain{2000};
@@ -48,7 +57,8 @@
 
   SoakResult Run() {
     this->Build();
-    for (int i = 0; i < kCallers; ++i) {
+    const int many = static_cast<int>(kCallersPerNode * this->options.nodes);
+    for (int i = 0; i < many; ++i) {
       this->callers.emplace_back([this, i]() { this->CallLoop(i); });
     }
     this->Disturb();
@@ -64,14 +74,13 @@
   }
 
  private:
-  /// Two front, two shop (each request calls stock once), two stock.
+  /// A third each of front, shop (each request calls stock once) and stock.
   void Build() {
     this->cluster.UseProxies();
-    const char* const services[kNodes] = {"front", "shop", "stock",
-                                          "front", "shop", "stock"};
-    for (int node = 0; node < kNodes; ++node) {
+    const std::array<const char*, 3> services = {"front", "shop", "stock"};
+    for (int node = 0; node < this->options.nodes; ++node) {
       standins::FakeInstance::Spec spec;
-      spec.service = services[node];
+      spec.service = services[static_cast<std::size_t>(node) % services.size()];
       spec.id = this->NextInstance(node);
       spec.work_ms = 5;
       spec.body_size = kBodySize;
@@ -79,7 +88,8 @@
         spec.calls = {{"soak.example", "/stock/1"}};
       }
       this->service_of[node] = spec.service;
-      this->cluster.Add(spec, node < kNodes / 2 ? "zone-a" : "zone-b");
+      this->cluster.Add(spec,
+                        node < this->options.nodes / 2 ? "zone-a" : "zone-b");
     }
     this->Configure();
     this->cluster.WaitReady();
@@ -122,7 +132,7 @@
   /// Requests one after the other on a connection that is kept until its node
   /// closes it.
   void CallLoop(int caller) {
-    const int node = caller % kNodes;
+    const int node = caller % this->options.nodes;
     standins::BlockingHttp client(
         {"127.0.0.1",
          static_cast<std::uint16_t>(this->cluster.CallerPort(node))},
@@ -172,8 +182,9 @@
     const auto until =
         this->started + std::chrono::seconds(this->options.seconds);
     while (Clock::now() < until) {
-      const int node = static_cast<int>(this->Draw(kNodes));
-      switch (this->Draw(12)) {
+      const int node = static_cast<int>(
+          this->Draw(static_cast<std::uint64_t>(this->options.nodes)));
+      switch (this->Draw(this->options.kinds)) {
         case 0:
           this->KillNode(node);
           break;
@@ -217,6 +228,18 @@
           this->Note("links to node " + std::to_string(node) + " are cut");
           this->cluster.Proxy(node).Cut();
           break;
+        case 12:
+          this->ReloadNode(node);
+          break;
+        case 13:
+          this->KillMany(this->Draw(3) == 0);
+          break;
+        case 14:
+          this->Note("a series of policies");
+          for (int i = 0; i < kSeries; ++i) {
+            this->Configure();
+          }
+          break;
         default:
           this->Note("links to node " + std::to_string(node) + " are slow");
           this->cluster.Proxy(node).SetDelay(
@@ -233,6 +256,38 @@
     this->cluster.StartNode(node);
   }
 
+  /// Half of the nodes, or all of them, at the same moment.
+  void KillMany(bool is_all) {
+    this->Note(is_all ? "kill all nodes" : "kill every second node");
+    const int step = is_all ? 1 : 2;
+    for (int node = 0; node < this->options.nodes; node += step) {
+      this->cluster.Node(node).Kill();
+    }
+    for (int node = 0; node < this->options.nodes; node += step) {
+      this->cluster.StartNode(node);
+    }
+  }
+
+  /// The settings file changes, at times to one with a fault, with or without a
+  /// signal. Nothing in flight is touched and the node goes on.
+  void ReloadNode(int node) {
+    const bool is_faulty = this->Draw(3) == 0;
+    this->Note("settings of node " + std::to_string(node) + " change" +
+               (is_faulty ? ", with a fault" : ""));
+    this->cluster.WriteSettings(node, this->service_of[node]);
+    if (is_faulty) {
+      std::ofstream(this->cluster.SettingsPath(node), std::ios::app)
+          << "[relay\nenabled = perhaps\n";
+    }
+    if (this->Draw(2) == 0) {
+      this->cluster.Node(node).Signal(SIGHUP);
+    }
+    if (is_faulty) {
+      std::this_thread::sleep_for(Millis(1200));
+      this->cluster.WriteSettings(node, this->service_of[node]);
+    }
+  }
+
   void StopNode(int node) {
     this->Note("stop node " + std::to_string(node));
     this->cluster.Node(node).Signal(SIGTERM);
@@ -282,7 +337,7 @@
   void Restore() {
     this->Note("everything is whole again");
     this->cluster.Store().SetFaults(StoreFault::kNone);
-    for (int node = 0; node < kNodes; ++node) {
+    for (int node = 0; node < this->options.nodes; ++node) {
       this->cluster.Proxy(node).SetDelay(0);
       this->cluster.Instance(node).SetFault(InstanceFault::kNone);
     }
@@ -292,7 +347,7 @@
   // ---- checks ----
 
   void CheckRecovery() {
-    for (int node = 0; node < kNodes; ++node) {
+    for (int node = 0; node < this->options.nodes; ++node) {
       const double version =
           this->cluster.Metric(node, "almondlink_policy_version").value_or(-1);
       if (version != static_cast<double>(this->version)) {
@@ -320,6 +375,7 @@
     for (const standins::SeenRequest& seen :
          this->cluster.Instance(node).Seen()) {
       ++this->runs[seen.id];
+      this->arrivals[this->service_of[node]].emplace_back(seen.at, seen.id);
       const bool is_stock = this->service_of[node] == "stock";
       const bool is_allowed = seen.target == "/shop/1"
                                   ? this->service_of[node] == "shop"
@@ -331,9 +387,12 @@
   }
 
   void CheckRuns() {
-    for (int node = 0; node < kNodes; ++node) {
+    for (int node = 0; node < this->options.nodes; ++node) {
       this->Collect(node);
     }
+    for (auto& [service, all] : this->arrivals) {
+      this->CheckRepeats(service, all);
+    }
     for (const Told& entry : this->told) {
       const int runs = this->runs[entry.id];
       if (entry.is_unsafe && runs > 1) {
@@ -345,6 +404,38 @@
     }
   }
 
+  /// In any window the arrivals beyond the first of each request stay within
+  /// the bound, over all nodes and however many of them started anew.
+  void CheckRepeats(
+      const std::string& service,
+      std::vector<std::pair<Clock::time_point, std::string>>& all) {
+    std::sort(all.begin(), all.end());
+    std::set<std::string> known;
+    std::vector<Clock::time_point> firsts;
+    std::vector<Clock::time_point> repeats;
+    for (const auto& [at, id] : all) {
+      (known.insert(id).second ? firsts : repeats).push_back(at);
+    }
+    const auto count = [](const std::vector<Clock::time_point>& times,
+                          Clock::time_point from) {
+      return std::lower_bound(times.begin(), times.end(),
+                              from + kRepeatWindow) -
+             std::lower_bound(times.begin(), times.end(), from);
+    };
+    for (const Clock::time_point& from : repeats) {
+      const auto many = static_cast<double>(count(repeats, from));
+      const auto requests = static_cast<double>(
+          std::max({count(firsts, from), count(firsts, from - kRepeatWindow),
+                    count(firsts, from - kRepeatWindow / 2)}));
+      if (many > kRepeatRatio * requests + kRepeatFixed) {
+        this->Break("BUDGET: " + std::to_string(many) + " repeats at " +
+                    service + " for " + std::to_string(requests) + " requests");
+        return;
+      }
+    }
+    this->result.repeats += static_cast<int>(repeats.size());
+  }
+
   SoakOptions options;
   std::mt19937_64 random;
   RelayCluster cluster;
@@ -352,6 +443,9 @@
   Clock::time_point started = Clock::now();
   std::map<int, std::string> service_of;
   std::map<std::string, int> runs;
+  /// What reached the targets of each service.
+  std::map<std::string, std::vector<std::pair<Clock::time_point, std::string>>>
+      arrivals;
   std::vector<Told> told;
   std::vector<std::thread> callers;
   std::mutex mutex;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -10,10 +10,17 @@
 /// from outside, from what callers and instances saw.
 namespace almondlink::test {
 
+/// Kinds of faults that there are.
+constexpr std::uint64_t kFaultKinds = 16;
+
 struct SoakOptions {
   std::uint64_t seed = 1;
   int seconds = 8;
   int base_port = 26000;
+  int nodes = 6;
+  /// Kinds of faults to draw from. A seed that failed is played again with the
+  /// number it failed with, since another number draws other faults.
+  std::uint64_t kinds = kFaultKinds;
 };
 
 struct SoakResult {
@@ -24,6 +31,8 @@
   int answered = 0;
   int refused = 0;
   int failed = 0;
+  /// Arrivals at targets beyond the first of each request.
+  int repeats = 0;
 };
 
 /// Runs one soak. Ends only processes that it started.
