--- a/libs/base/include/almondlink/base/metrics.h
+++ b/libs/base/include/almondlink/base/metrics.h
@@ -46,8 +46,8 @@
                  const std::string& labels,
                  double value);
 
-/// `value` as it may stand between the quotes of a label.
-std::string EscapeLabel(const std::string& value);
+/// A label of a sample, `name="value"`; the value cannot end its quotes.
+std::string MetricLabel(const char* name, const std::string& value);
 
 /// Counts of latencies in fixed classes from a quarter of a millisecond to ten
 /// seconds (Boost.Histogram). Unlike quantiles they can be added up over nodes.
--- a/libs/base/src/metrics.cc
+++ b/libs/base/src/metrics.cc
@@ -76,15 +76,21 @@
   out += line.str();
 }
 
-std::string EscapeLabel(const std::string& value) {
-  std::string escaped;
+std::string MetricLabel(const char* name, const std::string& value) {
+  std::string label = name;
+  label += "=\"";
   for (const char letter : value) {
     if (letter == '\\' || letter == '"') {
-      escaped += '\\';
+      label += '\\';
+    }
+    if (letter == '\n') {
+      label += "\\n";
+    } else {
+      label += letter;
     }
-    escaped += letter == '\n' ? std::string("\\n") : std::string(1, letter);
   }
-  return escaped;
+  label += '"';
+  return label;
 }
 
 namespace {
--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -128,7 +128,7 @@
 }
 
 TEST_CASE("a label's value cannot end its quotes") {
-  REQUIRE(EscapeLabel("a\"b\\c\nd") == "a\\\"b\\\\c\\nd");
+  REQUIRE(MetricLabel("a", "a\"b\\c\nd") == "a=\"a\\\"b\\\\c\\nd\"");
 }
 
 }  // namespace
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -55,12 +55,11 @@
   this->entry.Counts().Write(out);
   out.Begin("repeats_left", "gauge", "Repeats that may still be made now.");
   for (const auto& [service, left] : this->entry.RepeatsLeft(now)) {
-    out.Add("service=\"" + EscapeLabel(service) + "\"", left);
+    out.Add(MetricLabel("service", service), left);
   }
   out.Begin("admitted_share", "gauge", "Part of the root requests let in.");
   for (const auto& [key, share] : this->entry.Admission().routes) {
-    out.Add("route=\"" + EscapeLabel(this->entry.RouteName(key)) + "\"",
-            share.share);
+    out.Add(MetricLabel("route", this->entry.RouteName(key)), share.share);
   }
   WriteTarget(this->served, out);
   WritePeers(this->peers, out);
--- a/libs/relay/src/request_counts.cc
+++ b/libs/relay/src/request_counts.cc
@@ -15,10 +15,6 @@
 constexpr std::uint32_t kNoRouteKey = 0;
 constexpr std::uint32_t kOtherRoutesKey = 1;
 
-std::string Quoted(const char* name, const std::string& value) {
-  return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
-}
-
 }  // namespace
 
 const char* ToString(RequestEnd end) {
@@ -69,13 +65,14 @@
             "Requests of callers and of targets that ended, by how.");
   for (const auto& [key, counts] : this->routes) {
     const std::string route =
-        Quoted("route", counts.name) + "," +
-        Quoted("kind", counts.is_repeatable ? "repeatable" : "once");
+        MetricLabel("route", counts.name) + "," +
+        MetricLabel("kind", counts.is_repeatable ? "repeatable" : "once");
     for (const bool is_root : {true, false}) {
       for (const auto& [how, count] : is_root ? counts.roots : counts.calls) {
-        out.Add(route + "," + Quoted("from", is_root ? "caller" : "target") +
-                    "," + Quoted("outcome", ToString(how.first)) + "," +
-                    Quoted("reason", ToString(how.second)),
+        out.Add(route + "," +
+                    MetricLabel("from", is_root ? "caller" : "target") + "," +
+                    MetricLabel("outcome", ToString(how.first)) + "," +
+                    MetricLabel("reason", ToString(how.second)),
                 static_cast<double>(count));
       }
     }
@@ -85,8 +82,8 @@
     out.Begin(name, "counter", help);
     for (const auto& [key, counts] : this->routes) {
       for (const auto& [reason, count] : counts.*sends) {
-        out.Add(Quoted("route", counts.name) + "," +
-                    Quoted("after", ToString(reason)),
+        out.Add(MetricLabel("route", counts.name) + "," +
+                    MetricLabel("after", ToString(reason)),
                 static_cast<double>(count));
       }
     }
@@ -98,7 +95,7 @@
               &RouteCounts::moves);
   out.Begin("request_ms", "histogram", "Time from a request to its end.");
   for (const auto& [key, counts] : this->routes) {
-    out.AddHistogram(Quoted("route", counts.name), counts.took);
+    out.AddHistogram(MetricLabel("route", counts.name), counts.took);
   }
   out.Begin("added_ms", "histogram",
             "Time of an answered request that was not its target's.");
--- a/standins/fake_store.cc
+++ b/standins/fake_store.cc
@@ -145,7 +145,7 @@
     return Json(409, {{"why", "seq"}, {"expected", producer.next}});
   }
   ++producer.next;
-  const std::string answer = this->AppendRecords(log, request.body());
+  std::string answer = this->AppendRecords(log, request.body());
   producer.answers[sequence] = answer;
   if (producer.answers.size() > kAnswersKept) {
     producer.answers.erase(producer.answers.begin());
--- a/test/support/metrics_text.cc
+++ b/test/support/metrics_text.cc
@@ -90,13 +90,14 @@
 
 double MetricsText::Sum(const std::string& name, const Labels& labels) const {
   double sum = 0;
-  for (const auto& [key, value] : this->samples) {
+  for (const auto& sample : this->samples) {
+    const Labels& own = sample.first.second;
     const bool has_all =
-        std::all_of(labels.begin(), labels.end(), [&key](const auto& label) {
-          const auto found = key.second.find(label.first);
-          return found != key.second.end() && found->second == label.second;
+        std::all_of(labels.begin(), labels.end(), [&own](const auto& label) {
+          const auto found = own.find(label.first);
+          return found != own.end() && found->second == label.second;
         });
-    sum += key.first == name && has_all ? value : 0;
+    sum += sample.first.first == name && has_all ? sample.second : 0;
   }
   return sum;
 }
