Requests wait for a target right after a start, instead of failing the chains above them

Nodes are back at 33.28 s; a target reports every 1.5 s, and until it has its node sends it nothing.

Ruled out: policy (there at once, from the store), links (up within 0.1 s), load (p50 of the targets unchanged).

Change: with no target of a service known, and one known or this node started less than 3 s ago (two reports), a request waits: a root up to half of its latency target, as for a slot, a call below it as long as it has time. Later it is refused at once, as before (control::WaitForTarget).

Tests first: 'requests wait for a target whose node has just started anew', 'a service without targets for long is refused at once', and the decision in virtual time.

--- a/libs/control/include/almondlink/control/placement.h
+++ b/libs/control/include/almondlink/control/placement.h
@@ -52,6 +52,18 @@
                                        Millis now,
                                        const PlaceDraws& draws);
 
+/// Longest that a request waits for a target to make itself known, when its
+/// service has none. Targets report themselves every second or two, so right
+/// after a node's start, or after all targets of a service were lost with their
+/// nodes, one is expected; later none is, and the request is refused at once.
+/// `without`: since when the service has no target. A root request waits no
+/// longer than its value lasts; a call below it as long as it has time, since
+/// the work above it would be lost.
+Millis WaitForTarget(Millis without,
+                     bool is_root,
+                     Millis latency_target,
+                     Millis left);
+
 }  // namespace almondlink::control
 
 #endif  // ALMONDLINK_CONTROL_PLACEMENT_H_
--- a/libs/control/src/placement.cc
+++ b/libs/control/src/placement.cc
@@ -7,6 +7,13 @@
 
 namespace {
 
+/// Two reports of a target: one may come late or be lost.
+constexpr Millis kTargetsReport{3000};
+/// A root request waits this part of its latency target, as for a slot.
+constexpr std::int64_t kRootWaitPart = 2;
+/// Time that a request needs after its wait.
+constexpr Millis kLeastLeft{30};
+
 /// Another zone is used when it is this much faster: bytes between zones are
 /// paid for, and the way there and back takes some milliseconds.
 constexpr double kZoneFactor = 1.3;
@@ -107,4 +114,14 @@
   return near_cost <= kZoneFactor * far_cost + kZoneMs ? near : far;
 }
 
+Millis WaitForTarget(Millis without,
+                     bool is_root,
+                     Millis latency_target,
+                     Millis left) {
+  const Millis expected = kTargetsReport - without;
+  const Millis useful =
+      is_root ? Millis{latency_target.count / kRootWaitPart} : left;
+  return std::max(Millis{0}, std::min({expected, useful, left - kLeastLeft}));
+}
+
 }  // namespace almondlink::control
--- a/libs/control/tests/relay_decisions_test.cc
+++ b/libs/control/tests/relay_decisions_test.cc
@@ -203,5 +203,20 @@
   REQUIRE(UsableSlots(ledger) == 40);
 }
 
+TEST_CASE("a request waits for a target only while one is expected") {
+  const Millis aim{1000};
+  const Millis left{4000};
+  // Found on the days that end with all hosts losing power: in the second and a
+  // half until all targets had reported themselves, calls of roots that were
+  // let in were refused, and the roots failed.
+  REQUIRE(WaitForTarget(Millis{100}, false, aim, left) == Millis{2900});
+  REQUIRE(WaitForTarget(Millis{100}, true, aim, left) == Millis{500});
+  REQUIRE(WaitForTarget(Millis{2800}, true, aim, left) == Millis{200});
+  REQUIRE(WaitForTarget(Millis{3000}, false, aim, left) == Millis{0});
+  REQUIRE(WaitForTarget(Millis{60'000}, true, aim, left) == Millis{0});
+  REQUIRE(WaitForTarget(Millis{100}, false, aim, Millis{200}) == Millis{170});
+  REQUIRE(WaitForTarget(Millis{100}, false, aim, Millis{10}) == Millis{0});
+}
+
 }  // namespace
 }  // namespace almondlink::control
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/repeat_allowance.h"
@@ -77,6 +78,9 @@
   bool AdmitRoot(const CallPointer& call);
   void Attempt(const CallPointer& call);
   PeerPointer ChoosePeer(const Call& call);
+  /// Whether the call is kept until its service has a target again.
+  bool WaitsForTarget(const CallPointer& call);
+  void RetryWaiting();
   void SendTo(const CallPointer& call, const PeerPointer& peer);
   void OnFailedAttempt(const CallPointer& call,
                        CallOutcome outcome,
@@ -113,6 +117,10 @@
   /// Shares as the log last told them.
   std::map<std::uint32_t, double> logged_shares;
   std::uint32_t last_id = 0;
+  /// When each service last had a target, and calls that wait for one.
+  std::unordered_map<std::string, Millis> last_open;
+  std::vector<std::weak_ptr<Call>> waiting;
+  Millis started;
   std::mt19937 random;
   RequestCounts counts;
 };
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -68,12 +68,51 @@
 void EntryCalls::Attempt(const CallPointer& call) {
   const PeerPointer peer = this->ChoosePeer(*call);
   if (peer == nullptr) {
-    this->FinishFailed(call, CallReason::kNoInstance);
+    if (!this->WaitsForTarget(call)) {
+      this->FinishFailed(call, CallReason::kNoInstance);
+    }
     return;
   }
   this->SendTo(call, peer);
 }
 
+bool EntryCalls::WaitsForTarget(const CallPointer& call) {
+  if (!call->tried.empty()) {
+    return false;
+  }
+  const Millis now = BootTimeNow();
+  if (call->waits_until == Millis{0}) {
+    const auto known = this->last_open.find(call->service);
+    const Millis last =
+        known == this->last_open.end() ? this->started : known->second;
+    call->waits_until =
+        now + control::WaitForTarget(now - last, call->is_root,
+                                     call->route->latency_target,
+                                     call->deadline - now);
+  }
+  if (now >= call->waits_until) {
+    return false;
+  }
+  this->waiting.push_back(call);
+  return true;
+}
+
+/// Sends what waited for a target that is there now; the rest waits on or ends.
+void EntryCalls::RetryWaiting() {
+  std::vector<std::weak_ptr<Call>> before;
+  before.swap(this->waiting);
+  for (const std::weak_ptr<Call>& entry : before) {
+    const CallPointer call = entry.lock();
+    if (call == nullptr) {
+      continue;
+    }
+    const auto open = this->calls.find(call->id);
+    if (open != this->calls.end() && open->second == call) {
+      this->Attempt(call);
+    }
+  }
+}
+
 void EntryCalls::SendTo(const CallPointer& call, const PeerPointer& peer) {
   const Millis now = BootTimeNow();
   const Millis left = call->deadline - now;
--- a/libs/relay/src/entry_call.h
+++ b/libs/relay/src/entry_call.h
@@ -33,6 +33,8 @@
   std::uint32_t attempts = 0;
   std::uint32_t moves = 0;
   bool may_have_run = false;
+  /// Until when it waits for its service to have a target; 0: it never did.
+  Millis waits_until;
   bool is_long = false;
   /// What the target was chosen by, for the log.
   std::uint32_t chosen_load = 0;
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -30,6 +30,7 @@
     : settings(settings_in),
       peers(peers_in),
       served(served_in),
+      started(BootTimeNow()),
       random(std::random_device()()) {}
 
 EntryCalls::~EntryCalls() = default;
@@ -220,6 +221,9 @@
     const bool is_open =
         told.state == InstanceState::kReady && !told.is_stopping;
     target.slots = is_open ? told.slots : 0;
+    if (is_open) {
+      this->last_open[told.service] = now;
+    }
     target.waiting = told.waiting;
     target.work_ms = told.work_ms;
     target.demand = told.demand;
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -169,6 +169,7 @@
 }
 
 void EntryCalls::Sweep(Millis now) {
+  this->RetryWaiting();
   while (!this->ends.empty() && this->ends.begin()->first <= now.count) {
     const std::uint32_t id = this->ends.begin()->second;
     const auto found = this->calls.find(id);
--- a/test/process/relay_faults_test.cc
+++ b/test/process/relay_faults_test.cc
@@ -148,6 +148,45 @@
   REQUIRE(whole == 8);
 }
 
+TEST_CASE("requests wait for a target whose node has just started anew") {
+  RelayCluster cluster(25860, "expected");
+  cluster.Add(Spec("i-shop", "shop"));
+  cluster.Add(Spec("i-stock", "stock"));
+  cluster.Configure(1, {{"stock", "stock.example", "/stock/", "stock"}});
+  cluster.WaitReady();
+  cluster.Instance(1).SetReports(false);
+  cluster.Node(1).Kill();
+  cluster.StartNode(1);
+  // Its node is there and knows of no target yet.
+  REQUIRE(Soon([&]() {
+    return cluster.Metric(0, "almondlink_peers") == 2.0 &&
+           cluster.Metric(0, "almondlink_open_targets") == 1.0;
+  }));
+  standins::PlainAnswer answer;
+  std::thread caller([&]() {
+    answer = cluster.Call(0, "stock.example", "/stock/1", "expected");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  cluster.Instance(1).SetReports(true);
+  caller.join();
+  REQUIRE(answer.status == 200);
+}
+
+TEST_CASE("a service without targets for long is refused at once") {
+  RelayCluster cluster(25890, "unexpected");
+  cluster.Add(Spec("i-shop", "shop"));
+  cluster.Configure(1, {{"gone", "stock.example", "/gone/", "nobody"}});
+  cluster.WaitReady();
+  std::this_thread::sleep_for(std::chrono::milliseconds(3100));
+  for (int i = 0; i < 20; ++i) {
+    const auto id = std::to_string(i);
+    REQUIRE(cluster.Call(0, "stock.example", "/gone/1", id).status == 503);
+  }
+  const MetricsText read = cluster.Metrics(0);
+  REQUIRE(read.Sum("almondlink_request_ms_bucket",
+                   {{"route", "gone"}, {"le", "50"}}) == 20);
+}
+
 TEST_CASE("a host that stands still delays what may run again by a second") {
   Pair pair(24620, "frozen");
   pair.cluster.Instance(0).SetWork(200);
