A stop of the own interface answers whoever got through to its port

Closing the listening socket resets connections that the kernel has taken and the loop has not, with the requests in them; and connections on which no byte had come yet were closed at once, just as their first request was on its way. Seen with the test's own words, beside load: "GET at shop-1: 0 end of stream", "Connection reset by peer". Ruled out: the nodes' links (both cuts were at the caller's port, GETs that may be repeated).

Change: a stop holds new connections off by a filter on the listening socket, lets handshakes end (20 ms), accepts all that is there, then closes the port; a connection that was just opened has 0.5 s for its first request; connections with unread bytes or an answer being written are not idle; the process waits for its last connections, 2 s at most, instead of a fixed 50 ms.

--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -36,6 +36,8 @@
 /// Time over the longest deadline that a stop waits for work in flight.
 constexpr Millis kStopMargin{2000};
 constexpr Millis kUsagePatience{3000};
+/// A caller that leaves its answer unread for so long has lost interest.
+constexpr Millis kLastConnections{2000};
 constexpr Millis kPullTimeout{2000};
 constexpr Millis kPoll{20};
 constexpr int kExitClean = 0;
@@ -422,6 +424,15 @@
     return longest;
   }
 
+  /// Waits for requests of connections that were just opened, and until the
+  /// last answers are written; a caller that stalls is not waited for.
+  void WaitForConnections() {
+    const Millis until = MonotonicNow() + kLastConnections;
+    while (MonotonicNow() < until && !this->callers->IsDone()) {
+      SleepFor(kPoll);
+    }
+  }
+
   /// Waits until nothing is in flight; false if the longest deadline passed.
   bool WaitForWork() {
     const RcuThread rcu;
@@ -431,8 +442,7 @@
           AskLoop<std::size_t>(this->target_loop.context,
                                [this]() { return this->target->OpenCalls(); });
       if (at_target == 0 && this->shared->calls_open.load() == 0) {
-        // The last answers are still being written.
-        SleepFor(Millis{50});
+        this->WaitForConnections();
         return true;
       }
       SleepFor(kPoll);
--- a/libs/server/include/almondlink/server/caller_server.h
+++ b/libs/server/include/almondlink/server/caller_server.h
@@ -79,6 +79,10 @@
   /// safe.
   void StopAccepting();
 
+  /// After StopAccepting: whether nothing is left to accept, read or write.
+  /// Thread safe.
+  bool IsDone() const;
+
   /// Thread safe.
   CallerServerStats Stats() const;
 
--- a/libs/server/src/caller_server.cc
+++ b/libs/server/src/caller_server.cc
@@ -11,6 +11,7 @@
 
 #include "almondlink/control/rate_limit.h"
 #include "beast_http.h"
+#include "listen_filter.h"
 
 namespace almondlink::server {
 
@@ -25,6 +26,14 @@
 using Response = http::response<http::vector_body<std::uint8_t>>;
 
 constexpr Millis kRatePause{10};
+/// A stop waits so long for the first request of a connection that was just
+/// opened: the caller is about to send it, and could not tell whether it was
+/// read if the connection ended instead.
+constexpr Millis kFirstRequest{500};
+/// Idle connections are looked for this often after a stop.
+constexpr std::chrono::milliseconds kIdleSweep{50};
+/// Time in which handshakes that had begun end, in round trips of a region.
+constexpr std::chrono::milliseconds kHandshakes{20};
 
 /// What the sessions of a server share.
 struct Shared {
@@ -32,6 +41,7 @@
   RequestHandler handler;
   std::atomic<bool> is_draining{false};
   std::atomic<bool> is_stopped{false};
+  std::atomic<bool> is_door_closed{false};
   std::atomic<std::uint64_t> open{0};
   std::atomic<std::uint64_t> requests{0};
   std::atomic<std::uint64_t> malformed{0};
@@ -64,7 +74,8 @@
         pause(this->stream.get_executor()),
         loop(loop),
         shared(std::move(shared)),
-        sessions(std::move(sessions)) {}
+        sessions(std::move(sessions)),
+        opened(MonotonicNow()) {}
 
   ~Session() {
     this->shared->open.fetch_sub(1);
@@ -78,11 +89,15 @@
     this->ReadHeader();
   }
 
-  /// Closes the connection if no request is under way.
+  /// Closes the connection if nothing is under way on it.
   void CloseIfIdle() {
-    const bool is_reading_header =
-        !this->has_request && this->buffer.size() == 0;
-    if (is_reading_header) {
+    beast::error_code ignored;
+    const bool is_between_requests =
+        this->is_waiting && this->buffer.size() == 0 &&
+        this->stream.socket().available(ignored) == 0;
+    const bool is_expected = this->request_number == 0 &&
+                             MonotonicNow() - this->opened < kFirstRequest;
+    if (is_between_requests && !is_expected) {
       this->Close();
     }
   }
@@ -110,6 +125,7 @@
 
  private:
   void ReadHeader() {
+    this->is_waiting = true;
     this->parser.emplace();
     this->parser->header_limit(
         static_cast<std::uint32_t>(this->shared->config.max_header));
@@ -123,6 +139,7 @@
   }
 
   void OnHeader(beast::error_code error) {
+    this->is_waiting = false;
     if (error) {
       this->OnReadError(error);
       return;
@@ -291,6 +308,9 @@
   const std::size_t loop;
   const std::shared_ptr<Shared> shared;
   const std::shared_ptr<SessionSet> sessions;
+  const Millis opened;
+  /// For the head of a request, of which no byte may have come yet.
+  bool is_waiting = false;
   std::uint64_t request_number = 0;
   bool has_request = false;
   bool is_keep_alive = true;
@@ -346,6 +366,7 @@
        RequestHandler handler)
       : loops(std::move(loops)),
         acceptor(*this->loops.front()),
+        handshakes(*this->loops.front()),
         shared(std::make_shared<Shared>()) {
     this->shared->config = config;
     this->shared->handler = std::move(handler);
@@ -383,22 +404,29 @@
     this->shared->is_draining = is_draining;
   }
 
+  /// Connections that wait to be accepted would be reset by closing the port,
+  /// with requests in them. So new ones are held off first, then all that came
+  /// before are taken, then the port is closed.
   void StopAccepting() {
     this->shared->is_stopped = true;
     asio::post(*this->loops.front(), [self = this->shared_from_this()]() {
-      beast::error_code ignored;
-      self->acceptor.close(ignored);
+      HoldOffConnections(self->acceptor.native_handle());
+      self->handshakes.expires_after(kHandshakes);
+      self->handshakes.async_wait(
+          [self](beast::error_code /*error*/) { self->CloseDoor(); });
     });
     for (std::size_t i = 0; i < this->loops.size(); ++i) {
-      asio::post(*this->loops[i], [sessions = this->sessions[i]]() {
-        const SessionSet open = *sessions;
-        for (Session* session : open) {
-          session->CloseIfIdle();
-        }
+      asio::post(*this->loops[i], [self = this->shared_from_this(), i]() {
+        self->SweepIdle(i);
       });
     }
   }
 
+  bool IsDone() const {
+    return this->shared->is_door_closed.load() &&
+           this->shared->open.load() == 0;
+  }
+
   CallerServerStats Stats() const {
     CallerServerStats stats;
     stats.open_connections = this->shared->open.load();
@@ -426,6 +454,38 @@
         });
   }
 
+  void CloseDoor() {
+    beast::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+      const std::size_t loop = this->next_loop++ % this->loops.size();
+      tcp::socket socket(*this->loops[loop]);
+      this->acceptor.accept(socket, error);
+      if (!error) {
+        this->OnAccept(loop, std::move(socket));
+      }
+    }
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+    this->shared->is_door_closed = true;
+  }
+
+  /// Closes what is idle on one loop, until nothing is left of it.
+  void SweepIdle(std::size_t loop) {
+    const SessionSet open = *this->sessions[loop];
+    for (Session* session : open) {
+      session->CloseIfIdle();
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(*this->loops[loop]);
+    timer->expires_after(kIdleSweep);
+    timer->async_wait([self = this->shared_from_this(), loop,
+                       timer](beast::error_code error) {
+      if (!error) {
+        self->SweepIdle(loop);
+      }
+    });
+  }
+
   void OnAccept(std::size_t loop, tcp::socket socket) {
     if (this->shared->open.load() >= this->shared->config.max_connections) {
       this->shared->turned_away.fetch_add(1);
@@ -439,6 +499,8 @@
 
   const std::vector<asio::io_context*> loops;
   tcp::acceptor acceptor;
+  /// Runs while handshakes end before the port is closed.
+  asio::steady_timer handshakes;
   const std::shared_ptr<Shared> shared;
   std::vector<std::shared_ptr<SessionSet>> sessions;
   std::size_t next_loop = 0;
@@ -469,6 +531,10 @@
   this->impl->StopAccepting();
 }
 
+bool CallerServer::IsDone() const {
+  return this->impl->IsDone();
+}
+
 CallerServerStats CallerServer::Stats() const {
   return this->impl->Stats();
 }
