--- a/libs/base/include/almondlink/base/event.h
+++ b/libs/base/include/almondlink/base/event.h
@@ -15,9 +15,13 @@
   kFailure,
   /// Requests that went well.
   kRoutine,
+  /// Requests whose outcome is not known: the last lines to go.
+  kLost,
+  /// Words of others that cannot be read.
+  kRefused,
 };
 
-constexpr std::uint32_t kVolumeCount = 3;
+constexpr std::uint32_t kVolumeCount = 5;
 
 /// One kind of log line. Numbers are never given to another event.
 struct Event {
--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -80,9 +80,10 @@
 /// why.
 constexpr Event kEventNotRun{601, Level::kInfo, "not-run", Volume::kFailure};
 /// A request was sent to a target and its outcome is not known: 502, or 504
-/// when its time was over.
+/// when its time was over. `target` is the last that got it, `attempts` how
+/// many did, `after_ms` the time since it came.
 constexpr Event kEventOutcomeUnknown{602, Level::kWarning, "outcome-unknown",
-                                     Volume::kFailure};
+                                     Volume::kLost};
 /// An attempt failed and another one follows; `after` tells why.
 constexpr Event kEventSentAgain{603, Level::kInfo, "sent-again",
                                 Volume::kFailure};
@@ -101,7 +102,8 @@
 /// A newer policy is in force here, from the store or a peer.
 constexpr Event kEventPolicyTaken{610, Level::kInfo, "policy-taken",
                                   Volume::kRare};
-/// The instance beside this node is new, changed, or leaves.
+/// The instance beside this node is new, changed, or leaves. `born` is the time
+/// of its start; another one under the same id is another start.
 constexpr Event kEventInstance{611, Level::kInfo, "instance", Volume::kRare};
 /// A link to another node is usable and its first state was told.
 constexpr Event kEventPeerSeen{612, Level::kInfo, "peer-seen", Volume::kRare};
@@ -128,6 +130,15 @@
 /// descriptors are short; `open` are left.
 constexpr Event kEventCallersClosed{622, Level::kWarning, "callers-closed",
                                     Volume::kRare};
+/// A report of an instance, or an entry of the store, that does not say what it
+/// must; nothing was taken from it. `from` is where it came from, `reason` the
+/// first fault.
+constexpr Event kEventEntryRefused{623, Level::kWarning, "entry-refused",
+                                   Volume::kRefused};
+/// Another node had met a start of this node with a higher number: the clock
+/// went back between two starts. This start goes on under `incarnation`.
+constexpr Event kEventRenumbered{624, Level::kInfo, "renumbered",
+                                 Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/base/src/event_log.cc
+++ b/libs/base/src/event_log.cc
@@ -11,6 +11,7 @@
 #include <ctime>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 #include "almondlink/base/log_rate.h"
 
@@ -23,7 +24,7 @@
 constexpr std::array<const char*, 4> kLevelNames = {"debug", "info", "warning",
                                                     "error"};
 constexpr std::array<const char*, kVolumeCount> kVolumeNames = {
-    "rare", "failure", "routine"};
+    "rare", "failure", "routine", "lost", "refused"};
 constexpr const char* kSinkName = "almondlink-buffer";
 /// Bytes that wait for the output; beyond it lines are left out.
 constexpr std::size_t kMostBuffered = 256 * 1024;
@@ -152,11 +153,13 @@
       log.reported[i] = log.rate.left_out[i];
     }
   }
-  if (missing[0] + missing[1] + missing[2] > 0) {
+  if (std::accumulate(missing.begin(), missing.end(), std::uint64_t{0}) > 0) {
     LogEvent(kEventLinesLeftOut,
              {{kVolumeNames[0], std::to_string(missing[0])},
               {kVolumeNames[1], std::to_string(missing[1])},
-              {kVolumeNames[2], std::to_string(missing[2])}});
+              {kVolumeNames[2], std::to_string(missing[2])},
+              {kVolumeNames[3], std::to_string(missing[3])},
+              {kVolumeNames[4], std::to_string(missing[4])}});
   }
 }
 
--- a/libs/control/include/almondlink/control/demand_meter.h
+++ b/libs/control/include/almondlink/control/demand_meter.h
@@ -59,6 +59,9 @@
               LatencyMs work,
               DemandMeter& meter);
 
+/// Forgets how long calls take, because another start of the target has come.
+void ForgetWork(DemandMeter& meter);
+
 /// Closes the window that began at the last call. Routes without arrivals are
 /// forgotten after a while.
 void UpdateDemand(Millis now, DemandMeter& meter);
--- a/libs/control/include/almondlink/control/instance_ledger.h
+++ b/libs/control/include/almondlink/control/instance_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "almondlink/base/clock.h"
@@ -11,21 +12,53 @@
 ///
 /// The instance reports itself to the node beside it. Reports can be late: one
 /// of an instance that has ended can arrive when its successor has reported
-/// already. An instance that was once known to leave stays leaving for good,
-/// whatever a late report says; peers remember that for a node that restarts.
+/// already. A start of an instance that was once known to leave stays leaving
+/// for good, whatever a late report says; peers remember that for a node that
+/// restarts.
+///
+/// An instance may start again under its id. The time of its start tells the
+/// starts apart: a later one begins with nothing of before, and what an earlier
+/// one still says changes nothing. Clocks can go back between two starts, so
+/// that the living one seems the earlier: it is believed once it has gone on
+/// reporting while nothing came from the other.
 namespace almondlink::control {
 
 enum class InstancePhase { kNone, kReady, kLeaving };
 
+/// One start of an instance.
+struct InstanceStart {
+  std::string id;
+  /// Wall-clock time of the start in milliseconds; 0 if it was not told.
+  std::uint64_t born = 0;
+};
+
+inline bool operator==(const InstanceStart& a, const InstanceStart& b) {
+  return a.id == b.id && a.born == b.born;
+}
+inline bool operator!=(const InstanceStart& a, const InstanceStart& b) {
+  return !(a == b);
+}
+inline bool operator<(const InstanceStart& a, const InstanceStart& b) {
+  return a.id != b.id ? a.id < b.id : a.born < b.born;
+}
+
 /// What an instance says of itself.
 struct InstanceReport {
-  std::string id;
+  InstanceStart start;
   std::string service;
   std::uint32_t capacity = 0;
   bool is_leaving = false;
   /// Time for which it will still be slow after its start.
   Millis cold_left;
-  /// Grows with every report of the instance.
+  /// Grows with every report of one start.
+  std::uint64_t sequence = 0;
+};
+
+/// Reports of a start that seems earlier than the current one.
+struct SeeminglyEarlier {
+  InstanceStart start;
+  /// When the first of its reports came since the current start was last heard.
+  Millis since;
   std::uint64_t sequence = 0;
 };
 
@@ -36,27 +69,36 @@
   /// When the current instance was first known to leave.
   Millis leaving_since;
   Millis reported;
-  /// Highest sequence seen of instances that are not the current one.
-  std::map<std::string, std::uint64_t> earlier;
-  /// Instances that are known to leave or to be gone.
-  std::map<std::string, bool> left;
+  /// Highest sequence seen of starts that are not the current one.
+  std::map<InstanceStart, std::uint64_t> earlier;
+  /// Starts that are known to leave or to be gone.
+  std::set<InstanceStart> left;
+  SeeminglyEarlier doubted;
 };
 
-enum class ReportEffect { kIgnored, kRefreshed, kChanged };
+enum class ReportEffect {
+  kIgnored,
+  kRefreshed,
+  kChanged,
+  /// The report contradicts what a start cannot change; nothing was taken.
+  kRefused,
+};
 
-/// Takes one report.
+/// Takes one report. One without the time of its start counts as of the start
+/// that is current under its id.
 ReportEffect TakeReport(Millis now,
                         const InstanceReport& report,
                         InstanceLedger& ledger);
 
-/// The instance says that it leaves, without a report.
+/// The instance says that it leaves, without a report. Without the time of its
+/// start it means the start that is current under its id.
 ReportEffect TakeLeave(Millis now,
-                       const std::string& id,
+                       const InstanceStart& start,
                        InstanceLedger& ledger);
 
-/// A peer remembers that instance `id` was leaving.
+/// A peer remembers that this start was leaving.
 ReportEffect RememberLeft(Millis now,
-                          const std::string& id,
+                          const InstanceStart& start,
                           InstanceLedger& ledger);
 
 /// Slots of the current instance that may be in use: a little below what it
--- a/libs/control/src/demand_meter.cc
+++ b/libs/control/src/demand_meter.cc
@@ -42,6 +42,12 @@
   entry.work_ms += kWorkWeight * (work.count - entry.work_ms);
 }
 
+void ForgetWork(DemandMeter& meter) {
+  for (auto& [route, entry] : meter.routes) {
+    entry.work_ms = 0;
+  }
+}
+
 void UpdateDemand(Millis now, DemandMeter& meter) {
   const double span = static_cast<double>((now - meter.window_start).count);
   if (span <= 0) {
--- a/libs/control/tests/relay_decisions_test.cc
+++ b/libs/control/tests/relay_decisions_test.cc
@@ -85,7 +85,7 @@
 
 InstanceReport Report(const std::string& id, std::uint64_t sequence) {
   InstanceReport report;
-  report.id = id;
+  report.start.id = id;
   report.service = "stock";
   report.capacity = 50;
   report.sequence = sequence;
@@ -154,7 +154,7 @@
           ReportEffect::kChanged);
   REQUIRE(TakeReport(Millis{2}, Report("old", 6), ledger) ==
           ReportEffect::kIgnored);
-  REQUIRE(ledger.current.id == "new");
+  REQUIRE(ledger.current.start.id == "new");
 }
 
 TEST_CASE("one that was replaced by mistake comes back by a newer report") {
@@ -163,14 +163,14 @@
   TakeReport(Millis{1}, Report("late", 3), ledger);
   REQUIRE(TakeReport(Millis{2}, Report("living", 8), ledger) ==
           ReportEffect::kChanged);
-  REQUIRE(ledger.current.id == "living");
+  REQUIRE(ledger.current.start.id == "living");
 }
 
 TEST_CASE("an instance that leaves stays leaving, also over a restart") {
   // Pattern: the node is restarted after it acknowledged the leave; peers
   // remember it; a ready report that was under way arrives late.
   InstanceLedger ledger;
-  RememberLeft(Millis{0}, "going", ledger);
+  RememberLeft(Millis{0}, {"going", 0}, ledger);
   REQUIRE(ledger.phase == InstancePhase::kNone);
   TakeReport(Millis{1}, Report("going", 9), ledger);
   REQUIRE(ledger.phase == InstancePhase::kLeaving);
@@ -179,10 +179,10 @@
 TEST_CASE("a leave without a report counts, and not again") {
   InstanceLedger ledger;
   TakeReport(Millis{0}, Report("a", 1), ledger);
-  REQUIRE(TakeLeave(Millis{5}, "a", ledger) == ReportEffect::kChanged);
-  REQUIRE(TakeLeave(Millis{9}, "a", ledger) == ReportEffect::kRefreshed);
+  REQUIRE(TakeLeave(Millis{5}, {"a", 0}, ledger) == ReportEffect::kChanged);
+  REQUIRE(TakeLeave(Millis{9}, {"a", 0}, ledger) == ReportEffect::kRefreshed);
   REQUIRE(ledger.leaving_since == Millis{5});
-  REQUIRE(TakeLeave(Millis{9}, "b", ledger) == ReportEffect::kIgnored);
+  REQUIRE(TakeLeave(Millis{9}, {"b", 0}, ledger) == ReportEffect::kIgnored);
 }
 
 TEST_CASE("a leaving instance does not displace a living one") {
@@ -191,7 +191,7 @@
   InstanceReport leaving = Report("other", 5);
   leaving.is_leaving = true;
   REQUIRE(TakeReport(Millis{1}, leaving, ledger) == ReportEffect::kIgnored);
-  REQUIRE(ledger.current.id == "living");
+  REQUIRE(ledger.current.start.id == "living");
 }
 
 TEST_CASE("the last slots of an instance stay free") {
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -50,6 +50,8 @@
   std::string instance;
   std::uint64_t sequence = 0;
   InstanceState state = InstanceState::kNone;
+  /// Start time of the instance, see control/instance_ledger.h; 0 if not told.
+  std::uint64_t born = 0;
 };
 
 /// How other nodes reach a node.
@@ -70,6 +72,9 @@
   std::vector<InstanceRecord> remembered;
   /// What the sender understands: from kSpeaksLoad on, load frames.
   std::uint32_t dialect = 0;
+  /// Number of the latest start of the receiver that the sender has met; 0 if
+  /// none. A node whose clock went back between two starts takes a later one.
+  std::uint64_t known_incarnation = 0;
 };
 
 /// The dialect that knows load frames, and the one spoken here.
@@ -93,6 +98,14 @@
   double calls_per_run = 0;
   std::vector<control::RouteDemand> demand;
   std::vector<control::RootRate> roots;
+  /// Start time of the instance; 0 if not told.
+  std::uint64_t born = 0;
+};
+
+/// Which report of which start of an instance a state was made after.
+struct ReportNumber {
+  std::uint64_t born = 0;
+  std::uint64_t sequence = 0;
 };
 
 /// The part of a state that changes with each call. A state of 250 bytes, told
@@ -228,8 +241,8 @@
 void AppendPolicy(std::string_view policy, std::string& out);
 void AppendCancel(std::uint32_t id, std::string& out);
 void AppendPing(std::string& out);
-/// The receiver keeps the state with that sequence number in mind.
-void AppendSeen(std::uint64_t sequence, std::string& out);
+/// The receiver keeps the state made after that report in mind.
+void AppendSeen(const ReportNumber& report, std::string& out);
 
 /// Decoders; false if the payload is too short. Views point into the payload.
 bool Decode(std::string_view payload, HelloFrame& frame);
@@ -240,7 +253,7 @@
 bool Decode(std::string_view payload, DataFrame& frame);
 bool Decode(std::string_view payload, WindowFrame& frame);
 bool DecodeCancel(std::string_view payload, std::uint32_t& id);
-bool DecodeSeen(std::string_view payload, std::uint64_t& sequence);
+bool DecodeSeen(std::string_view payload, ReportNumber& report);
 
 }  // namespace almondlink::relay
 
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +48,9 @@
   std::uint32_t outstanding = 0;
   /// Nothing came on its link for too long while calls are out.
   bool is_suspect = false;
+  /// When it was asked for a sign of life last, and first since its last word.
   Millis pinged;
+  Millis first_pinged;
   control::TargetHealth health;
   bool is_dialling = false;
   Millis next_dial;
@@ -79,8 +82,10 @@
   std::function<void(std::string policy)> on_policy;
   /// A peer remembers one of this node's instances.
   std::function<void(const InstanceRecord&)> on_remembered;
-  /// A peer confirmed the state with that sequence number.
-  std::function<void(std::uint64_t sequence)> on_seen;
+  /// A peer confirmed the state made after that report.
+  std::function<void(const ReportNumber&)> on_seen;
+  /// This start of the node has another number from now on.
+  std::function<void(std::uint64_t incarnation)> on_incarnation;
   /// The state to tell now.
   std::function<StateFrame()> make_state;
   /// The policy in force as it is passed between nodes; empty if none.
@@ -149,7 +154,7 @@
   void Adopt(const PeerPointer& peer, boost::asio::ip::tcp::socket socket);
   void OnDialledFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnAcceptedFrame(const PeerLinkPointer& link, const RawFrame& frame);
-  void OnHello(const HelloFrame& hello);
+  bool OnHello(const HelloFrame& hello);
   void OnState(const PeerPointer& peer, std::string_view payload);
   void OnLoad(const PeerPointer& peer, std::string_view payload);
   void RememberLeaving(const PeerPointer& peer);
@@ -170,8 +175,9 @@
   std::vector<PeerPointer> peers;
   std::map<LinkId, AcceptedLink> accepted;
   std::unordered_map<std::string, std::vector<PeerPointer>> by_service;
-  /// Instances of other nodes that were told to leave, by node.
-  std::map<std::string, std::map<std::string, InstanceRecord>> remembered;
+  /// Instances of other nodes that were told to leave, by node; the latest
+  /// told are last.
+  std::map<std::string, std::deque<InstanceRecord>> remembered;
   std::uint64_t next_link = 1;
   /// Counts the changes of this node's facts.
   std::uint64_t facts = 1;
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   std::function<policy::RouteTablePointer(const std::string& text)> parse;
   /// The node has nothing left to do after Stop().
   std::function<void()> on_stopped;
+  /// This start of the node has another number from now on, above one that
+  /// another node has met.
+  std::function<void(std::uint64_t incarnation)> on_incarnation;
 };
 
 /// Not thread safe: belongs to one loop.
@@ -54,10 +58,13 @@
 
   /// A report of the instance; `acknowledge` is called once the report can be
   /// acknowledged: a leave is first made known to another node, so that a
-  /// restart of this one does not forget it.
-  void OnReport(const control::InstanceReport& report,
-                std::function<void()> acknowledge);
-  void OnLeave(const std::string& id, std::function<void()> acknowledge);
+  /// restart of this one does not forget it. Errors: kBadMessage if the service
+  /// is not one of the policy's or not that of the start; nothing is taken
+  /// then.
+  Result<void> OnReport(const control::InstanceReport& report,
+                        std::function<void()> acknowledge);
+  void OnLeave(const control::InstanceStart& start,
+               std::function<void()> acknowledge);
 
   /// Makes another node known.
   void Learn(const NodeAddress& node) { this->peers.Learn(node); }
@@ -91,7 +98,7 @@
 
  private:
   struct PendingAck {
-    std::uint64_t sequence = 0;
+    ReportNumber report;
     Millis until;
     std::function<void()> acknowledge;
   };
@@ -103,7 +110,7 @@
   void OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnState(const PeerPointer& peer);
   void AcknowledgeLeave(std::function<void()> acknowledge);
-  void RunAcks(Millis now, std::uint64_t seen);
+  void RunAcks(Millis now, const std::optional<ReportNumber>& seen);
   void LogInstance() const;
   void ScheduleTick();
   void Tick();
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -85,8 +85,8 @@
 
   /// Reports of the instance; see control/instance_ledger.h.
   control::ReportEffect OnReport(const control::InstanceReport& report);
-  control::ReportEffect OnLeave(const std::string& id);
-  control::ReportEffect Remember(const std::string& id);
+  control::ReportEffect OnLeave(const control::InstanceStart& start);
+  control::ReportEffect Remember(const control::InstanceStart& start);
 
   /// The run of the target that `request_id` belongs to, if it is running.
   std::optional<RunInfo> FindRun(const std::string& request_id) const;
@@ -124,6 +124,7 @@
               bool is_last,
               bool is_broken);
   void EndRun(const CallPointer& call);
+  void EndRunsOfEarlierStart();
   void Sample(const Call& call, LatencyMs work);
   void Reject(const CallPointer& call, CallReason reason);
   void SendOutcome(const CallPointer& call,
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -171,14 +171,20 @@
   const Writer writer(FrameType::kPing, out);
 }
 
-void AppendSeen(std::uint64_t sequence, std::string& out) {
+void AppendSeen(const ReportNumber& report, std::string& out) {
   Writer writer(FrameType::kSeen, out);
-  writer.Put(sequence);
+  writer.Put(report.sequence);
+  writer.Put(report.born);
 }
 
-bool DecodeSeen(std::string_view payload, std::uint64_t& sequence) {
+bool DecodeSeen(std::string_view payload, ReportNumber& report) {
   Reader in(payload);
-  in.Take(sequence);
+  in.Take(report.sequence);
+  // An older node says nothing of it.
+  report.born = 0;
+  if (!in.IsAtEnd()) {
+    in.Take(report.born);
+  }
   return in.IsGood();
 }
 
--- a/libs/relay/src/peer_news.cc
+++ b/libs/relay/src/peer_news.cc
@@ -47,15 +47,27 @@
   hello.dialect = kOwnDialect;
   const auto known = this->remembered.find(to);
   if (known != this->remembered.end()) {
-    for (const auto& [instance, record] : known->second) {
-      hello.remembered.push_back(record);
-    }
+    hello.remembered.assign(known->second.begin(), known->second.end());
+  }
+  const auto met = std::find_if(
+      this->peers.begin(), this->peers.end(),
+      [&to](const PeerPointer& peer) { return peer->node.name == to; });
+  if (met != this->peers.end()) {
+    hello.known_incarnation = (*met)->node.incarnation;
   }
   Append(hello, link.Out());
   link.FlushSoon();
 }
 
-void PeerTable::OnHello(const HelloFrame& hello) {
+/// True if this start took a later number because of what the sender knows.
+bool PeerTable::OnHello(const HelloFrame& hello) {
+  const bool is_outnumbered =
+      hello.known_incarnation > this->self->node.incarnation;
+  if (is_outnumbered) {
+    // The clock went back between the last start and this one.
+    this->SetIncarnation(hello.known_incarnation + 1);
+    this->events.on_incarnation(this->self->node.incarnation);
+  }
   this->Learn(hello.self);
   for (const NodeAddress& node : hello.others) {
     this->Learn(node);
@@ -63,6 +75,7 @@
   for (const InstanceRecord& record : hello.remembered) {
     this->events.on_remembered(record);
   }
+  return is_outnumbered;
 }
 
 void PeerTable::OnAcceptedFrame(const PeerLinkPointer& link,
@@ -97,9 +110,9 @@
     return;
   }
   if (frame.type == FrameType::kSeen) {
-    std::uint64_t sequence = 0;
-    if (DecodeSeen(frame.payload, sequence)) {
-      this->events.on_seen(sequence);
+    ReportNumber report;
+    if (DecodeSeen(frame.payload, report)) {
+      this->events.on_seen(report);
     }
     return;
   }
@@ -117,7 +130,10 @@
           peer->node = hello.self;
         }
         peer->node.incarnation = hello.self.incarnation;
-        this->OnHello(hello);
+        if (this->OnHello(hello)) {
+          // It takes this start for an earlier one until it hears the number.
+          this->SendHello(*peer->link, peer->node.name);
+        }
       }
       return;
     }
@@ -141,6 +157,8 @@
   }
   const bool is_first = !peer->is_greeted;
   const bool is_moved = peer->told.service != state.service;
+  const bool is_other_start =
+      peer->told.instance != state.instance || peer->told.born != state.born;
   peer->is_greeted = true;
   peer->dial_wait = Millis{0};
   peer->told = std::move(state);
@@ -149,6 +167,10 @@
   if (is_moved) {
     this->by_service.clear();
   }
+  if (is_other_start) {
+    // What was seen of the instance before says nothing of this one.
+    peer->health = control::TargetHealth();
+  }
   this->RememberLeaving(peer);
   this->events.on_state(peer, is_first);
 }
@@ -158,15 +180,21 @@
   if (peer->told.state != InstanceState::kDraining) {
     return;
   }
-  std::map<std::string, InstanceRecord>& records =
-      this->remembered[peer->node.name];
-  if (records.size() >= kMostRemembered) {
-    records.erase(records.begin());
+  const StateFrame& told = peer->told;
+  std::deque<InstanceRecord>& records = this->remembered[peer->node.name];
+  const auto known = std::find_if(
+      records.begin(), records.end(), [&told](const InstanceRecord& record) {
+        return record.instance == told.instance && record.born == told.born;
+      });
+  if (known != records.end()) {
+    records.erase(known);
+  }
+  records.push_back(InstanceRecord{peer->node.name, told.instance,
+                                   told.sequence, told.state, told.born});
+  if (records.size() > kMostRemembered) {
+    records.pop_front();
   }
-  records[peer->told.instance] =
-      InstanceRecord{peer->node.name, peer->told.instance, peer->told.sequence,
-                     peer->told.state};
-  AppendSeen(peer->told.sequence, peer->link->Out());
+  AppendSeen({told.born, told.sequence}, peer->link->Out());
   peer->link->FlushSoon();
 }
 
@@ -209,6 +237,10 @@
   }
   const bool is_changed = !HaveSameFacts(state, this->self->told);
   const bool is_leaving = state.state == InstanceState::kDraining;
+  if (this->self->told.instance != state.instance ||
+      this->self->told.born != state.born) {
+    this->self->health = control::TargetHealth();
+  }
   this->facts += is_changed || is_leaving ? 1 : 0;
   this->self->told = state;
   this->self->told_at = BootTimeNow();
--- a/libs/relay/src/peer_state_frames.cc
+++ b/libs/relay/src/peer_state_frames.cc
@@ -23,6 +23,10 @@
     writer.PutByte(static_cast<std::uint8_t>(record.state));
   }
   writer.Put(frame.dialect);
+  writer.Put(frame.known_incarnation);
+  for (const InstanceRecord& record : frame.remembered) {
+    writer.Put(record.born);
+  }
 }
 
 bool Decode(std::string_view payload, HelloFrame& frame) {
@@ -40,12 +44,20 @@
     in.TakeText(record.instance);
     in.Take(record.sequence);
     record.state = static_cast<InstanceState>(in.TakeByte());
+    record.born = 0;
   }
   // An older node says nothing of it.
   frame.dialect = 0;
+  frame.known_incarnation = 0;
   if (!in.IsAtEnd()) {
     in.Take(frame.dialect);
   }
+  if (!in.IsAtEnd()) {
+    in.Take(frame.known_incarnation);
+    for (InstanceRecord& record : frame.remembered) {
+      in.Take(record.born);
+    }
+  }
   return in.IsGood();
 }
 
@@ -72,8 +84,8 @@
 bool HaveSameFacts(const StateFrame& a, const StateFrame& b) {
   return a.policy_version == b.policy_version &&
          a.is_stopping == b.is_stopping && a.service == b.service &&
-         a.zone == b.zone && a.instance == b.instance && a.state == b.state &&
-         a.slots == b.slots;
+         a.zone == b.zone && a.instance == b.instance && a.born == b.born &&
+         a.state == b.state && a.slots == b.slots;
 }
 
 void Append(const LoadFrame& frame, std::string& out) {
@@ -143,6 +155,7 @@
     writer.PutFraction(entry.offered_per_s);
     writer.PutFraction(entry.let_in_per_s);
   }
+  writer.Put(frame.born);
 }
 
 bool Decode(std::string_view payload, StateFrame& frame) {
@@ -171,6 +184,11 @@
     entry.offered_per_s = in.TakeFraction();
     entry.let_in_per_s = in.TakeFraction();
   }
+  // An older node says nothing of it.
+  frame.born = 0;
+  if (!in.IsAtEnd()) {
+    in.Take(frame.born);
+  }
   return in.IsGood();
 }
 
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -84,14 +84,18 @@
   };
   events.on_remembered = [this](const InstanceRecord& record) {
     if (record.state == InstanceState::kDraining &&
-        this->served.Remember(record.instance) ==
+        this->served.Remember({record.instance, record.born}) ==
             control::ReportEffect::kChanged) {
       this->LogInstance();
       this->peers.TellNow();
     }
   };
-  events.on_seen = [this](std::uint64_t sequence) {
-    this->RunAcks(BootTimeNow(), sequence);
+  events.on_seen = [this](const ReportNumber& report) {
+    this->RunAcks(BootTimeNow(), report);
+  };
+  events.on_incarnation = [this](std::uint64_t incarnation) {
+    LogEvent(kEventRenumbered, {{"incarnation", std::to_string(incarnation)}});
+    this->hooks.on_incarnation(incarnation);
   };
   events.make_state = [this]() { return this->MakeState(); };
   events.policy_text = [this]() -> const std::string& {
@@ -129,7 +133,7 @@
     }
     LogEvent(kEventTargetCallFailed,
              {{"request", request_id},
-              {"instance", this->served.Ledger().current.id},
+              {"instance", this->served.Ledger().current.start.id},
               {"reason", ToString(reason)},
               {"sent", was_sent ? "yes" : "no"},
               {"after_ms", std::to_string(waited.count)},
@@ -154,7 +158,8 @@
   state.is_stopping = this->is_leaving_told;
   state.zone = this->settings.zone.Value();
   state.service = ledger.current.service;
-  state.instance = ledger.current.id;
+  state.instance = ledger.current.start.id;
+  state.born = ledger.current.start.born;
   state.sequence = ledger.current.sequence;
   switch (ledger.phase) {
     case control::InstancePhase::kNone:
@@ -207,7 +212,8 @@
   const control::InstanceLedger& ledger = this->served.Ledger();
   LogEvent(
       kEventInstance,
-      {{"instance", ledger.current.id},
+      {{"instance", ledger.current.start.id},
+       {"born", std::to_string(ledger.current.start.born)},
        {"service", ledger.current.service},
        {"state",
         ledger.phase == control::InstancePhase::kReady ? "ready" : "leaving"},
@@ -215,23 +221,35 @@
        {"sequence", std::to_string(ledger.current.sequence)}});
 }
 
-void RelayNode::OnReport(const control::InstanceReport& report,
-                         std::function<void()> acknowledge) {
+Result<void> RelayNode::OnReport(const control::InstanceReport& report,
+                                 std::function<void()> acknowledge) {
+  const policy::RouteTablePointer& table = this->entry.Table();
+  const bool is_unnamed = table != nullptr && !table->connections.empty() &&
+                          table->connections.count(report.service) == 0;
+  if (is_unnamed) {
+    return Fail(ErrorKind::kBadMessage,
+                "service: " + report.service + " is not in the policy");
+  }
   const control::ReportEffect effect = this->served.OnReport(report);
+  if (effect == control::ReportEffect::kRefused) {
+    return Fail(ErrorKind::kBadMessage,
+                "service: a start of an instance does not change it");
+  }
   if (effect == control::ReportEffect::kChanged) {
     this->LogInstance();
     this->peers.TellNow();
   }
   if (report.is_leaving) {
     this->AcknowledgeLeave(std::move(acknowledge));
-    return;
+    return {};
   }
   acknowledge();
+  return {};
 }
 
-void RelayNode::OnLeave(const std::string& id,
+void RelayNode::OnLeave(const control::InstanceStart& start,
                         std::function<void()> acknowledge) {
-  if (this->served.OnLeave(id) == control::ReportEffect::kChanged) {
+  if (this->served.OnLeave(start) == control::ReportEffect::kChanged) {
     this->LogInstance();
     this->peers.TellNow();
   }
@@ -240,18 +258,23 @@
 
 void RelayNode::AcknowledgeLeave(std::function<void()> acknowledge) {
   PendingAck pending;
-  pending.sequence = this->served.Ledger().current.sequence;
+  const control::InstanceReport& current = this->served.Ledger().current;
+  pending.report = {current.start.born, current.sequence};
   pending.until = BootTimeNow() + kConfirmWait;
   pending.acknowledge = std::move(acknowledge);
   this->pending_acks.push_back(std::move(pending));
   this->peers.TellNow();
 }
 
-void RelayNode::RunAcks(Millis now, std::uint64_t seen) {
+void RelayNode::RunAcks(Millis now, const std::optional<ReportNumber>& seen) {
   std::vector<PendingAck> open;
   open.swap(this->pending_acks);
   for (PendingAck& pending : open) {
-    if (pending.sequence <= seen || now >= pending.until) {
+    // A node that does not tell the start means the current one.
+    const bool is_seen = seen.has_value() &&
+                         pending.report.sequence <= seen->sequence &&
+                         (seen->born == 0 || seen->born == pending.report.born);
+    if (is_seen || now >= pending.until) {
       pending.acknowledge();
     } else {
       this->pending_acks.push_back(std::move(pending));
@@ -341,7 +364,7 @@
   ++this->ticks;
   this->entry.Sweep(now);
   this->served.Sweep(now);
-  this->RunAcks(now, 0);
+  this->RunAcks(now, std::nullopt);
   if (this->ticks % kPeerTicks == 0) {
     this->peers.Tick(now);
     this->entry.UpdateAdmission(now);
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -84,7 +84,7 @@
   if (this->ledger.phase == control::InstancePhase::kNone) {
     return CallReason::kNoInstance;
   }
-  if (frame.instance != this->ledger.current.id) {
+  if (frame.instance != this->ledger.current.start.id) {
     return CallReason::kOtherInstance;
   }
   if (this->IsPastDrain(now)) {
@@ -174,7 +174,7 @@
       .append("\r\n")
       .append(this->names.target_instance)
       .append(": ")
-      .append(this->ledger.current.id)
+      .append(this->ledger.current.start.id)
       .append("\r\n")
       .append(this->names.caller_service)
       .append(": ")
@@ -349,22 +349,51 @@
 
 control::ReportEffect ServedCalls::OnReport(
     const control::InstanceReport& report) {
-  const std::string before = this->ledger.current.id;
+  const control::InstanceStart before = this->ledger.current.start;
   const control::ReportEffect effect =
       control::TakeReport(BootTimeNow(), report, this->ledger);
-  if (before != this->ledger.current.id) {
+  const control::InstanceStart& current = this->ledger.current.start;
+  if (before != current) {
     // Connections to the one before must not carry requests for this one.
     this->pool.CloseIdle();
+    control::ForgetWork(this->meter);
+    if (before.id == current.id) {
+      this->EndRunsOfEarlierStart();
+    }
   }
   return effect;
 }
 
-control::ReportEffect ServedCalls::OnLeave(const std::string& id) {
-  return control::TakeLeave(BootTimeNow(), id, this->ledger);
+/// Nothing that ran at the start before will be answered: it may have run.
+void ServedCalls::EndRunsOfEarlierStart() {
+  std::vector<CallPointer> lost;
+  for (const auto& [id, call] : this->runs) {
+    lost.push_back(call);
+  }
+  for (const CallPointer& call : lost) {
+    TargetPool::Cancel(call->exchange);
+    this->EndRun(call);
+    if (call->is_answering) {
+      DataFrame end;
+      end.id = call->id;
+      end.is_last = true;
+      end.is_broken = true;
+      this->events.on_part(call->link, end);
+    } else {
+      this->SendOutcome(call, CallOutcome::kBroken, CallReason::kClosed);
+    }
+  }
+  this->Fill(BootTimeNow());
+}
+
+control::ReportEffect ServedCalls::OnLeave(
+    const control::InstanceStart& start) {
+  return control::TakeLeave(BootTimeNow(), start, this->ledger);
 }
 
-control::ReportEffect ServedCalls::Remember(const std::string& id) {
-  return control::RememberLeft(BootTimeNow(), id, this->ledger);
+control::ReportEffect ServedCalls::Remember(
+    const control::InstanceStart& start) {
+  return control::RememberLeft(BootTimeNow(), start, this->ledger);
 }
 
 /// Takes the time of a call, unless this host stood still while it ran.
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -120,17 +120,54 @@
   HelloFrame hello;
   hello.self = {"n1", "127.0.0.1:9", 12};
   hello.dialect = kOwnDialect;
+  hello.remembered = {{"n2", "i-1", 3, InstanceState::kDraining, 77}};
+  hello.known_incarnation = 99;
   std::string bytes;
   Append(hello, bytes);
   HelloFrame read;
   REQUIRE(Decode(Only(bytes).payload, read));
   REQUIRE(read.dialect == kOwnDialect);
+  REQUIRE(read.known_incarnation == 99);
+  REQUIRE(read.remembered[0].born == 77);
+  // One that knows no start times, and one that knows no dialect.
   std::string_view older = Only(bytes).payload;
+  older.remove_suffix(sizeof(hello.known_incarnation) + sizeof(std::uint64_t));
+  REQUIRE(Decode(older, read));
+  REQUIRE(read.dialect == kOwnDialect);
+  REQUIRE(read.known_incarnation == 0);
+  REQUIRE(read.remembered[0].born == 0);
   older.remove_suffix(sizeof(hello.dialect));
   REQUIRE(Decode(older, read));
   REQUIRE(read.dialect == 0);
 }
 
+TEST_CASE("the start of an instance survives the way") {
+  StateFrame state;
+  state.instance = "i-1";
+  state.born = 1ULL << 41;
+  std::string bytes;
+  Append(state, bytes);
+  StateFrame read;
+  REQUIRE(Decode(Only(bytes).payload, read));
+  REQUIRE(read.born == 1ULL << 41);
+  REQUIRE(HaveSameFacts(state, read));
+  read.born = 5;
+  REQUIRE_FALSE(HaveSameFacts(state, read));
+  std::string_view older = Only(bytes).payload;
+  older.remove_suffix(sizeof(state.born));
+  REQUIRE(Decode(older, read));
+  REQUIRE(read.born == 0);
+  bytes.clear();
+  AppendSeen({7, 9}, bytes);
+  ReportNumber number;
+  REQUIRE(DecodeSeen(Only(bytes).payload, number));
+  REQUIRE(number.born == 7);
+  REQUIRE(number.sequence == 9);
+  REQUIRE(DecodeSeen(Only(bytes).payload.substr(0, 8), number));
+  REQUIRE(number.born == 0);
+  REQUIRE(number.sequence == 9);
+}
+
 TEST_CASE("a payload cut anywhere is refused, never read beyond") {
   CallFrame call;
   call.instance = "i-1";
@@ -164,8 +201,8 @@
   std::string bytes;
   Append(state, bytes);
   std::string payload(Only(bytes).payload);
-  // The count of the last list.
-  payload[payload.size() - 4] = '\x7f';
+  // The count of the last list; the start of the instance follows it.
+  payload[payload.size() - sizeof(state.born) - 4] = '\x7f';
   StateFrame read;
   REQUIRE_FALSE(Decode(payload, read));
 }
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -50,31 +50,36 @@
 }
 
 unsigned FakeInstance::Report(const std::string& state, std::uint64_t number) {
+  nlohmann::json body = {
+      {"service", this->spec.service},
+      {"address", "127.0.0.1:" + std::to_string(this->spec.port)},
+      {"zone", this->spec.zone},
+      {"version", "v1"},
+      {"capacity", this->spec.capacity},
+      {"state", state},
+      {"coldLeftMs", 0},
+      {"sequence", number}};
+  if (this->spec.born != 0) {
+    body["born"] = this->spec.born;
+  }
+  return this->ReportBytes("heartbeat", body.dump());
+}
+
+unsigned FakeInstance::ReportBytes(const std::string& call,
+                                   const std::string& body) {
   BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
   PlainRequest request;
   request.method = "POST";
-  request.target = "/instances/" + this->spec.id + "/heartbeat";
+  request.target = "/instances/" + this->spec.id + "/" + call;
   request.headers["Content-Type"] = "application/json";
-  request.body =
-      nlohmann::json(
-          {{"service", this->spec.service},
-           {"address", "127.0.0.1:" + std::to_string(this->spec.port)},
-           {"zone", this->spec.zone},
-           {"version", "v1"},
-           {"capacity", this->spec.capacity},
-           {"state", state},
-           {"coldLeftMs", 0},
-           {"sequence", number}})
-          .dump();
+  request.body = body;
   return client.Send(request).status;
 }
 
 unsigned FakeInstance::Leave() {
-  BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
-  PlainRequest request;
-  request.method = "POST";
-  request.target = "/instances/" + this->spec.id + "/leave";
-  return client.Send(request).status;
+  const nlohmann::json body = {{"born", this->spec.born}};
+  return this->ReportBytes("leave",
+                           this->spec.born == 0 ? std::string() : body.dump());
 }
 
 /// Calls of a request are made one after the other; the ids continue its id.
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -61,6 +61,8 @@
     int capacity = 16;
     int work_ms = 1;
     int body_size = 20;
+    /// Wall-clock time of its start in milliseconds; 0: it does not tell.
+    std::uint64_t born = 0;
     /// Host and path of the calls that each request makes, in order.
     std::vector<std::pair<std::string, std::string>> calls;
   };
@@ -76,6 +78,8 @@
   void SetReports(bool are_on) { this->reports = are_on; }
   /// Sends one report now; the status of the answer, 0 if there was none.
   unsigned Report(const std::string& state, std::uint64_t sequence);
+  /// Sends any bytes as a report, or as a leave.
+  unsigned ReportBytes(const std::string& call, const std::string& body);
   unsigned Leave();
 
   std::vector<SeenRequest> Seen();
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -90,6 +90,10 @@
   return this->folder + "/node-" + std::to_string(node) + ".ini";
 }
 
+int RelayCluster::PeerPort(int node) const {
+  return this->PortOf(node, kPeerPort);
+}
+
 std::string RelayCluster::LogPath(int node) const {
   return this->folder + "/node-" + std::to_string(node) + ".log";
 }
@@ -138,10 +142,13 @@
   return node;
 }
 
-void RelayCluster::ReplaceInstance(int node, const std::string& id) {
+void RelayCluster::ReplaceInstance(int node,
+                                   const std::string& id,
+                                   std::uint64_t born) {
   Entry& entry = this->nodes[Index(node)];
   entry.instance.reset();
   entry.spec.id = id;
+  entry.spec.born = born;
   entry.instance = std::make_unique<standins::FakeInstance>(entry.spec);
 }
 
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -60,7 +60,7 @@
     return *this->nodes[Index(node)].instance;
   }
   /// Starts another instance in place of the one before.
-  void ReplaceInstance(int node, const std::string& id);
+  void ReplaceInstance(int node, const std::string& id, std::uint64_t born = 0);
   /// Ends the instance and its connections.
   void EndInstance(int node) { this->nodes[Index(node)].instance.reset(); }
   standins::FakeStore& Store() { return this->store; }
@@ -88,6 +88,7 @@
 
   std::string SettingsPath(int node) const;
   std::string LogPath(int node) const;
+  int PeerPort(int node) const;
   void WriteSettings(int node, const std::string& service);
 
  private:
