--- /dev/null
+++ b/libs/control/tests/link_silence_test.cc
@@ -0,0 +1,61 @@
+#include "almondlink/control/link_silence.h"
+
+#include <catch2/catch.hpp>
+
+namespace almondlink::control {
+namespace {
+
+/// Plays ticks of 100 ms from `start`; the time at which the node is suspect,
+/// or -1. The node answers a question after `answers_after`, if that is not
+/// negative.
+std::int64_t SuspectAt(std::int64_t start,
+                       std::int64_t until,
+                       std::int64_t answers_after) {
+  LinkSilence link;
+  link.heard = Millis{0};
+  link.asked = Millis{-1};
+  link.first_asked = Millis{-1};
+  link.calls_out = 1;
+  std::int64_t answer_at = -1;
+  for (std::int64_t now = start; now <= until; now += 100) {
+    link.now = Millis{now};
+    if (answer_at >= 0 && now >= answer_at) {
+      link.heard = Millis{answer_at};
+      answer_at = -1;
+    }
+    switch (StepOnSilence(link)) {
+      case SilenceStep::kNothing:
+        break;
+      case SilenceStep::kAsk:
+        link.first_asked =
+            link.first_asked > link.heard ? link.first_asked : link.now;
+        link.asked = link.now;
+        answer_at = answers_after < 0 ? -1 : now + answers_after;
+        break;
+      case SilenceStep::kSuspect:
+        return now;
+    }
+  }
+  return -1;
+}
+
+TEST_CASE("a node that says nothing is suspect 0.7 s after its last word") {
+  REQUIRE(SuspectAt(0, 5000, -1) == 700);
+}
+
+TEST_CASE("a node that was idle is asked before it is suspect") {
+  // Pattern: its last word is up to a second old when the first call goes out.
+  for (std::int64_t silent = 300; silent <= 1000; silent += 100) {
+    REQUIRE(SuspectAt(silent, silent + 5000, 20) == -1);
+    REQUIRE(SuspectAt(silent, silent + 5000, -1) == silent + 400);
+  }
+}
+
+TEST_CASE("without calls out nobody is asked") {
+  LinkSilence link;
+  link.now = Millis{5000};
+  REQUIRE(StepOnSilence(link) == SilenceStep::kNothing);
+}
+
+}  // namespace
+}  // namespace almondlink::control
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -77,6 +77,7 @@
   const policy::RoutePart* ChoosePart(const policy::Route& route);
   bool AdmitRoot(const CallPointer& call);
   void Attempt(const CallPointer& call);
+  static bool IsOpen(const Peer& peer);
   PeerPointer ChoosePeer(const Call& call);
   /// Whether the call is kept until its service has a target again.
   bool WaitsForTarget(const CallPointer& call);
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -31,6 +31,12 @@
   }
 }
 
+/// Whether calls may be sent to the target beside that node.
+bool EntryCalls::IsOpen(const Peer& peer) {
+  return peer.IsReachable() && !peer.is_suspect && !peer.told.is_stopping &&
+         peer.told.state == InstanceState::kReady;
+}
+
 PeerPointer EntryCalls::ChoosePeer(const Call& call) {
   const std::vector<PeerPointer>& members = this->peers.Of(call.service);
   std::vector<control::PlaceView> views;
@@ -38,9 +44,7 @@
   for (const PeerPointer& peer : members) {
     control::PlaceView view;
     view.is_own_zone = peer->told.zone == this->settings.zone.Value();
-    view.is_open = peer->IsReachable() && !peer->is_suspect &&
-                   !peer->told.is_stopping &&
-                   peer->told.state == InstanceState::kReady;
+    view.is_open = IsOpen(*peer);
     view.is_tried = std::find(call.tried.begin(), call.tried.end(),
                               peer->node.name) != call.tried.end();
     view.slots = std::max(1U, peer->told.slots);
@@ -213,13 +217,20 @@
   if (may_repeat) {
     ++call->attempts;
     call->may_have_run = true;
-    if (this->MayRepeat(BootTimeNow(), *call, CallReason::kNone)) {
-      LogEvent(kEventSentAgain,
-               {{"request", call->head.id},
-                {"parent", this->ParentOf(*call)},
-                {"after", "status " + std::to_string(frame.status)},
-                {"target", peer->told.instance}});
-      this->Attempt(call);
+    const PeerPointer next = this->ChoosePeer(*call);
+    if (next != nullptr &&
+        this->MayRepeat(BootTimeNow(), *call, CallReason::kNone)) {
+      if (WouldLog(kEventSentAgain)) {
+        LogEvent(kEventSentAgain,
+                 {{"request", call->head.id},
+                  {"parent", this->ParentOf(*call)},
+                  {"after", "status " + std::to_string(frame.status)},
+                  {"target", peer->told.instance}});
+      }
+      call->kept =
+          KeptAnswer{frame.status, std::string(frame.status_text),
+                     std::string(frame.fields), std::string(frame.body)};
+      this->SendTo(call, next);
       return;
     }
   }
@@ -234,10 +245,8 @@
   const std::vector<PeerPointer>& members = this->peers.Of(call.service);
   const bool has_other = std::any_of(
       members.begin(), members.end(), [&call](const PeerPointer& peer) {
-        return peer->IsReachable() && !peer->is_suspect &&
-               peer->told.state == InstanceState::kReady &&
-               std::find(call.tried.begin(), call.tried.end(),
-                         peer->node.name) == call.tried.end();
+        return IsOpen(*peer) && std::find(call.tried.begin(), call.tried.end(),
+                                          peer->node.name) == call.tried.end();
       });
   if (!has_other) {
     return false;
@@ -337,13 +346,16 @@
 }
 
 void EntryCalls::MoveFromSuspect(const CallPointer& call) {
+  // The attempt that is out is given up only for one that can be made: where
+  // the other targets leave or are set aside, it may still be answered.
   ++call->attempts;
-  call->may_have_run = true;
-  if (!this->MayRepeat(BootTimeNow(), *call, CallReason::kTimeout)) {
-    // Nothing is lost by waiting on.
+  const PeerPointer next = this->ChoosePeer(*call);
+  if (next == nullptr ||
+      !this->MayRepeat(BootTimeNow(), *call, CallReason::kTimeout)) {
     --call->attempts;
     return;
   }
+  call->may_have_run = true;
   if (WouldLog(kEventSentAgain)) {
     LogEvent(kEventSentAgain, {{"request", call->head.id},
                                {"parent", this->ParentOf(*call)},
@@ -351,7 +363,7 @@
                                {"target", call->peer->told.instance}});
   }
   this->DropAttempt(call);
-  this->Attempt(call);
+  this->SendTo(call, next);
 }
 
 /// Ends the attempt that is out, at the target too.
--- a/libs/relay/src/entry_call.h
+++ b/libs/relay/src/entry_call.h
@@ -1,6 +1,7 @@
 #ifndef ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
 #define ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,15 @@
 
 namespace almondlink::relay {
 
+/// A failure of a target that is passed on if a repeat brings no answer: it is
+/// worth more to the caller than a failure of ours, and no less true.
+struct KeptAnswer {
+  std::uint32_t status = 0;
+  std::string status_text;
+  std::string fields;
+  std::string body;
+};
+
 /// One request of a caller from its arrival to its answer. EntryCalls is in
 /// three units: entry_calls.cc (what comes in and whether it is let in),
 /// entry_attempts.cc (where it is sent, and again), entry_ends.cc (its answer).
@@ -36,6 +46,9 @@
   /// Until when it waits for its service to have a target; 0: it never did.
   Millis waits_until;
   bool is_long = false;
+  std::optional<KeptAnswer> kept;
+  /// Instance of the attempt that was out when the call ended.
+  std::string last_target;
   /// What the target was chosen by, for the log.
   std::uint32_t chosen_load = 0;
   std::uint32_t chosen_slots = 0;
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -93,7 +93,17 @@
 }
 
 void EntryCalls::FinishFailed(const CallPointer& call, CallReason reason) {
+  if (call->peer != nullptr) {
+    call->last_target = call->peer->told.instance;
+  }
   this->Finish(call);
+  if (call->kept.has_value()) {
+    const KeptAnswer& kept = *call->kept;
+    this->NoteEnd(*call, RequestEnd::kFailedByTarget, reason);
+    call->exchange->Answer(kept.status, kept.status_text, kept.fields,
+                           kept.body);
+    return;
+  }
   if (!call->may_have_run) {
     this->RefuseNotRun(call, reason, this->RetryAfter(*call));
     return;
@@ -103,11 +113,16 @@
   const std::uint32_t status = is_late ? kGatewayTimeout : kBadGateway;
   this->NoteEnd(*call, is_late ? RequestEnd::kTimedOut : RequestEnd::kUnknown,
                 reason);
-  LogEvent(kEventOutcomeUnknown, {{"request", call->head.id},
-                                  {"parent", this->ParentOf(*call)},
-                                  {"status", std::to_string(status)},
-                                  {"reason", ToString(reason)},
-                                  {"route", call->route->name}});
+  LogEvent(
+      kEventOutcomeUnknown,
+      {{"request", call->head.id},
+       {"parent", this->ParentOf(*call)},
+       {"status", std::to_string(status)},
+       {"reason", ToString(reason)},
+       {"route", call->route->name},
+       {"target", call->last_target},
+       {"attempts", std::to_string(call->attempts)},
+       {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
   call->exchange->Answer(status, StatusText(status), "", "");
 }
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -7,6 +7,7 @@
 #include "address.h"
 #include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
+#include "almondlink/control/link_silence.h"
 #include "almondlink/relay/socket_options.h"
 
 namespace almondlink::relay {
@@ -26,10 +27,6 @@
 constexpr Millis kSilent{2200};
 /// A tick that comes this late means that the host was suspended or starved.
 constexpr Millis kSuspended{1000};
-/// Silence with calls out after which a node is asked, and after which it is
-/// suspect: three round trips of a busy node, and two unanswered questions.
-constexpr Millis kAskAfter{300};
-constexpr Millis kSuspectAfter{700};
 constexpr Millis kDialTimeout{1000};
 constexpr Millis kFirstDialWait{100};
 constexpr Millis kLastDialWait{2000};
@@ -270,21 +267,26 @@
 /// A node that is asked and says nothing is not sent more; it may only stand
 /// still, so the link stays for a while.
 void PeerTable::CheckSilence(Millis now, const PeerPointer& peer) {
-  const Millis silence = now - peer->link->LastReceived();
-  if (peer->outstanding == 0 || silence < kAskAfter || !peer->is_greeted) {
-    return;
-  }
-  if (now - peer->pinged >= kAskAfter) {
+  const Millis heard = peer->link->LastReceived();
+  const control::LinkSilence silence{now, heard, peer->pinged,
+                                     peer->first_pinged, peer->outstanding};
+  const control::SilenceStep step = peer->is_greeted
+                                        ? control::StepOnSilence(silence)
+                                        : control::SilenceStep::kNothing;
+  const bool is_asked = peer->first_pinged > heard;
+  if (step == control::SilenceStep::kAsk ||
+      (step == control::SilenceStep::kSuspect && now < this->patient_until)) {
     peer->pinged = now;
+    peer->first_pinged = is_asked ? peer->first_pinged : now;
     AppendPing(peer->link->Out());
     peer->link->FlushSoon();
+    return;
   }
-  if (silence >= kSuspectAfter && !peer->is_suspect &&
-      now >= this->patient_until) {
+  if (step == control::SilenceStep::kSuspect && !peer->is_suspect) {
     peer->is_suspect = true;
     LogEvent(kEventLinkSilent,
              {{"peer", peer->node.name},
-              {"silence_ms", std::to_string(silence.count)},
+              {"silence_ms", std::to_string((now - heard).count)},
               {"calls_out", std::to_string(peer->outstanding)}});
     this->events.on_suspect(peer);
   }
