--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -424,15 +424,6 @@
     return longest;
   }
 
-  /// Waits for requests of connections that were just opened, and until the
-  /// last answers are written; a caller that stalls is not waited for.
-  void WaitForConnections() {
-    const Millis until = MonotonicNow() + kLastConnections;
-    while (MonotonicNow() < until && !this->callers->IsDone()) {
-      SleepFor(kPoll);
-    }
-  }
-
   /// Waits until nothing is in flight; false if the longest deadline passed.
   bool WaitForWork() {
     const RcuThread rcu;
@@ -442,7 +433,8 @@
           AskLoop<std::size_t>(this->target_loop.context,
                                [this]() { return this->target->OpenCalls(); });
       if (at_target == 0 && this->shared->calls_open.load() == 0) {
-        this->WaitForConnections();
+        // Requests of connections that were just opened, and last answers.
+        this->callers->WaitUntilDone(kLastConnections);
         return true;
       }
       SleepFor(kPoll);
--- a/almondlinkd/target_views.cc
+++ b/almondlinkd/target_views.cc
@@ -102,7 +102,8 @@
   view.in_flight -= std::min(view.in_flight, 1U);
   const bool is_fault = IsTargetFault(kind) || IsOwnServerError(answer);
   const bool was_good = view.health.state == control::HealthState::kGood;
-  if (control::NoteHealth(now, is_fault, view.health)) {
+  if (control::NoteHealth(control::HealthRules(), now, is_fault, 0,
+                          view.health)) {
     LogEvent(kEventTargetSetAside, {{"target", node}});
   } else if (!was_good && view.health.state == control::HealthState::kGood) {
     LogEvent(kEventTargetBack, {{"target", node}});
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -141,6 +141,73 @@
   double repeat_fixed;
 };
 
+/// Section [decisions]: How a relay decides. The defaults were measured
+/// (docs/decisions.md); others are for experiments.
+struct DecisionsSettings {
+  /// Part of a service's usable slots that admission plans for; what waits is
+  /// taken off besides. Below 1 slots stay empty while requests are refused.
+  double planned_share;
+  /// Part of the slots a target announces that is used: targets slow down when
+  /// nearly full, by a third above 0.95 where it was seen.
+  double usable_slots;
+  /// Part of a service's room that all routes get alike, whatever their
+  /// priority.
+  double assured_room;
+  /// No route's share falls below this part of the share of all root requests.
+  double least_part;
+  /// That guard gives a route no fewer slots than a less urgent one.
+  bool no_fewer;
+  /// How far routes of equal priority share room by what a request costs: 0 the
+  /// same part of what each wants, 1 the same slots to each, so that cheap
+  /// requests are served more often.
+  double by_cost;
+  /// Part of the way to a new share that a tenth of a second goes.
+  double share_step;
+  /// A target of another availability zone is used where the own zone's would
+  /// take this many times as long, and zone_wait more.
+  double zone_factor;
+  /// See zone_factor. 0ms with a factor of 1: zones do not matter.
+  Millis zone_wait;
+  /// The own zone's target is used in any case while a request would take no
+  /// more than this part of its route's latency target there.
+  double zone_patience;
+  /// Targets are chosen by the time a request would take there; otherwise by
+  /// their load alone.
+  bool place_by_time;
+  /// A target that fails each request counts as so many times slower, one that
+  /// fails a part of them in proportion; 0: failures do not matter to the
+  /// choice.
+  double failing_weight;
+  /// Part of the bound on repeats that is used; the rest is for clocks and
+  /// windows that slide differently.
+  double repeat_used;
+  /// How strictly the order of repeats is kept when more are asked for than are
+  /// left; 0: whoever asks first.
+  double repeat_kept;
+  /// Most sends of one request that reach a target. Targets that refused
+  /// without running may be asked again; others are bounded by the route's
+  /// attempts.
+  std::int64_t repeat_sends;
+  /// Failures in a row after which a target that fails more than the others is
+  /// set aside; 0: never.
+  std::int64_t set_aside_after;
+  /// A target is set aside only if it fails this many times as often as the
+  /// service's others, and a tenth more; 0: whatever the others do.
+  double outlier_factor;
+  /// Calls are taken back from nodes that do not answer on an open link.
+  bool suspect_silent;
+  /// Time since a service last had a target within which its next is expected,
+  /// and requests wait for it.
+  Millis wait_for_target;
+  /// A refused caller is told to return after this part of its route's latency
+  /// target, spread by half.
+  double return_part;
+  /// Time that a call was held up on a link is taken from its deadline.
+  bool held_frames;
+  /// Nodes that look often for a new policy.
+  std::int64_t lookouts;
+};
+
 /// Section [logging]: The node's own log.
 struct LoggingSettings {
   /// debug, info, warning or error.
@@ -159,6 +226,7 @@
   BundleSettings bundle;
   MeteringSettings metering;
   RelaySettings relay;
+  DecisionsSettings decisions;
   LoggingSettings logging;
 };
 
--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -60,9 +60,11 @@
 
 /// Constants of the admission.
 struct ChainRules {
-  /// Part of the slots that is planned for: what is left takes the swings of
-  /// arrivals within a window, so that calls rarely wait.
-  double planned_share = 0.94;
+  /// Part of the slots that is planned for. What waits is taken off the room,
+  /// so a swing of arrivals is worked off without a reserve: at 0.94 a
+  /// sixteenth of the slots stayed empty while requests were refused, worth
+  /// 0.01 to 0.03 of what callers were owed on days of high load.
+  double planned_share = 1;
   /// Time within which what waits is to be worked off, in milliseconds.
   double drain_ms = 500;
   /// Part of the room that all routes get alike, whatever their priority: no
@@ -76,6 +78,13 @@
   /// Each more costs the most valued kind: with two of three targets gone it is
   /// served 0.86, 0.77 and 0.61 for 0.1, 0.15 and 0.2 (test/replay).
   double least_part = 0.15;
+  /// Whether that guard also keeps a route's slots above a less urgent one's.
+  bool has_no_fewer = true;
+  /// How far routes of one priority share the room by what a request costs: 0
+  /// gives each the same part of what it wants, 1 the same slots. With a search
+  /// of four times the cost of a lookup, 1 serves 0.96 to 0.97 of all instead
+  /// of 0.95, and the search 0.79 instead of 0.81.
+  double by_cost = 1;
   /// Part of the way to the new share that one step goes.
   double step = 0.5;
 };
--- a/libs/control/include/almondlink/control/demand_meter.h
+++ b/libs/control/include/almondlink/control/demand_meter.h
@@ -28,7 +28,8 @@
 
 /// A rate that is averaged over a time that is given at each update.
 struct RateMeter {
-  std::uint32_t events = 0;
+  /// Below 0 where more was taken back than came.
+  std::int32_t events = 0;
   double per_s = 0;
 };
 
@@ -53,6 +54,10 @@
 /// Notes one request that arrived for `route`, whatever becomes of it.
 void NoteDemand(std::uint32_t route, DemandMeter& meter);
 
+/// Takes one back that the target refused without running: it needed no slot,
+/// and counted as demand it would have roots refused for room that is there.
+void NoteTurnedAway(std::uint32_t route, DemandMeter& meter);
+
 /// Notes how long the target worked for one request of `route`.
 void NoteWork(std::uint32_t route,
               Millis now,
--- a/libs/control/include/almondlink/control/instance_ledger.h
+++ b/libs/control/include/almondlink/control/instance_ledger.h
@@ -74,6 +74,10 @@
   /// Starts that are known to leave or to be gone.
   std::set<InstanceStart> left;
   SeeminglyEarlier doubted;
+  /// Part of the announced slots that is used. Targets slow down when nearly
+  /// full (a third slower above 95 % where it was seen), and a new connection
+  /// may hold a slot for a moment.
+  double usable_part = 0.94;
 };
 
 enum class ReportEffect {
--- a/libs/control/include/almondlink/control/placement.h
+++ b/libs/control/include/almondlink/control/placement.h
@@ -16,7 +16,9 @@
 /// wait that is near nothing until the slots are nearly all taken and then
 /// grows with what waits. So light load goes to the fastest targets, heavy load
 /// uses every slot, and a target that turned slow gets what the others cannot
-/// take. Of each zone two targets are drawn and the cheaper one is taken.
+/// take. A target that fails part of its requests, too few in a row to be set
+/// aside, counts as slower: its failures take repeats, or requests that may run
+/// once. Of each zone two targets are drawn and the cheaper one is taken.
 namespace almondlink::control {
 
 /// What an entry node knows of one target.
@@ -35,6 +37,24 @@
   TargetHealth health;
 };
 
+/// Constants of the choice.
+struct PlaceRules {
+  /// Another zone is used where the own one would take so many times as long,
+  /// and so much longer: bytes between zones are paid for.
+  double zone_factor = 1.3;
+  double zone_ms = 3;
+  /// The own zone is used in any case while a request takes no longer there: an
+  /// answer well within its latency target is worth no more for being faster.
+  /// It halves the bytes between zones.
+  double patience_ms = 0;
+  /// By the expected time of a request; otherwise by the load alone.
+  bool is_by_time = true;
+  /// A target that fails each request counts as so many times slower. Where two
+  /// of three targets lose two fifths of their answers, a third of the failures
+  /// is left.
+  double failing_weight = 10;
+};
+
 /// Draws of one choice, each uniform in [0, 1).
 struct PlaceDraws {
   double near_first = 0;
@@ -48,7 +68,8 @@
 double PlaceCost(const PlaceView& view, double typical_ms);
 
 /// Index of the target to send to; none if no target is open. Pure.
-std::optional<std::size_t> ChoosePlace(const std::vector<PlaceView>& views,
+std::optional<std::size_t> ChoosePlace(const PlaceRules& rules,
+                                       const std::vector<PlaceView>& views,
                                        Millis now,
                                        const PlaceDraws& draws);
 
@@ -56,10 +77,12 @@
 /// service has none. Targets report themselves every second or two, so right
 /// after a node's start, or after all targets of a service were lost with their
 /// nodes, one is expected; later none is, and the request is refused at once.
-/// `without`: since when the service has no target. A root request waits no
-/// longer than its value lasts; a call below it as long as it has time, since
-/// the work above it would be lost.
-Millis WaitForTarget(Millis without,
+/// `expected`: since its service last had a target, so long until the next;
+/// `without`: since when the service has none. A root request waits no longer
+/// than its value lasts; a call below it as long as it has time, since the work
+/// above it would be lost.
+Millis WaitForTarget(Millis expected,
+                     Millis without,
                      bool is_root,
                      Millis latency_target,
                      Millis left);
--- a/libs/control/include/almondlink/control/repeat_allowance.h
+++ b/libs/control/include/almondlink/control/repeat_allowance.h
@@ -3,23 +3,40 @@
 
 #include <array>
 #include <cstdint>
+#include <vector>
 
 #include "almondlink/base/clock.h"
 
-/// How often one node may send requests of a service to a second target.
+/// How often the nodes may send requests of a service once more.
 ///
 /// The bound is on all nodes together: in any window, repeats at a service stay
-/// within a ratio of the requests for it plus a fixed number. Each node keeps
-/// to the ratio of its own requests and to its part of the fixed number, so
-/// that the sum holds without a message between nodes, also when a node starts
-/// anew with an empty window.
+/// within a ratio of the requests for it plus a fixed number. The requests are
+/// those of that window, of the one before it, or of the one half a window
+/// before it, whichever has most: when targets begin to turn requests away,
+/// chains of calls die early and fewer requests come, and the bound does not
+/// fall with them at once.
+///
+/// Each node keeps to the ratio of its own requests and to its part of the
+/// fixed number. So the sum over nodes holds without a message between them,
+/// also when a node starts anew with an empty window, as long as all nodes had
+/// most requests in the same window. Load that moves from node to node makes
+/// them differ, so nodes that repeat tell their counts, and each also keeps to
+/// the bound worked out from the sums.
+///
+/// A repeat is counted in every window that will hold it, so a node also looks
+/// ahead: what it sends now must fit into the windows that end later, with the
+/// requests that are known of them by now. A node that starts anew learns from
+/// its peers what it sent before.
 ///
 /// When targets fail more than may be made good, repeats spread evenly save
 /// nobody: a chain of five calls of which each is refused by half and a fifth
 /// of those is sent again ends whole in 5 of 100. So what is left goes to some
 /// requests only, the same ones at all nodes and in all calls of their chains:
-/// those of the most urgent routes first, and within a route those whose root
-/// has a low hash.
+/// those of the most urgent routes first, then those that one repeat makes
+/// whole, and among equals those whose root has a low hash. Where the order
+/// ends is worked out from what is asked for, by place, in the last second:
+/// keeping a fixed part for the first in order let the others take a third of a
+/// window's bound in the first second of a trouble.
 namespace almondlink::control {
 
 /// The bound for the whole system.
@@ -28,30 +45,58 @@
   Millis window{10'000};
   double fixed = 0;
   std::uint32_t nodes = 1;
-  /// Part of the bound that is used: the rest is for windows that slide
-  /// differently from ours and for nodes that started anew within one.
-  double used_part = 0.5;
-  /// Part of what the ratio allows that is kept for the first in order: the
-  /// last in order is sent again only while no more than the rest was taken.
-  /// The fixed number is for everyone: where requests are few, so are failures.
+  /// Part of what the ratio allows that is used: the rest is for windows that
+  /// slide differently from ours and for what nodes told a moment ago.
+  double used_part = 0.9;
+  /// How strictly the order is kept: a request is sent again only if what it
+  /// and those before it in order ask for, times this part, would fit into a
+  /// whole window. 0: whoever asks first. The fixed number is for everyone:
+  /// where requests are few, so are failures.
   double kept_part = 0.9;
+  /// The node started anew within the window and nobody remembers what it sent
+  /// before: as much of the ratio as `used_part` leaves is used meanwhile.
+  bool is_fresh = false;
+  double fresh_part = 0.08;
 };
 
 /// Place of a request in the order in which repeats are given when few are
-/// left, from 0 (first) to 1. `root_hash` is of the id of its root request.
-double RepeatPlace(std::uint32_t priority, std::uint64_t root_hash);
+/// left, from 0 (first) to 1. `calls`: how many calls its root makes at the
+/// service; `root_hash` is of the id of its root request.
+double RepeatPlace(std::uint32_t priority,
+                   double calls,
+                   std::uint64_t root_hash);
 
-constexpr std::size_t kAllowanceSlots = 10;
+/// Slots of a window; any span counts, and a window that begins within a slot
+/// is a twentieth longer here.
+constexpr std::int64_t kWindowSlots = 20;
+/// Two windows and the current slot, rounded up.
+constexpr std::size_t kAllowanceSlots = 48;
+/// Places in the order that are told apart when wants are counted.
+constexpr std::size_t kPlaces = 30;
 
-/// Requests and repeats of one service in the window, in slots of a tenth.
-/// Plain data; one thread at a time.
+/// Requests and repeats of one service in the last two windows. Plain data; one
+/// thread at a time.
 struct RepeatAllowance {
   std::array<std::uint32_t, kAllowanceSlots> requests{};
   std::array<std::uint32_t, kAllowanceSlots> repeats{};
   std::int64_t slot = 0;
+  /// Repeats taken over from an earlier start of the node.
+  std::uint32_t remembered = 0;
+  /// Repeats asked for in the current slot and the one before, by place.
+  std::array<std::uint32_t, kPlaces> wanted{};
+  std::array<std::uint32_t, kPlaces> wanted_before{};
 };
 
-/// Notes a request that was sent to a target for the first time.
+/// Requests of the window that ends now, of the one half a window before it and
+/// of the one before it, and repeats of the window that ends now.
+struct RepeatCounts {
+  std::uint32_t now = 0;
+  std::uint32_t half_before = 0;
+  std::uint32_t before = 0;
+  std::uint32_t repeats = 0;
+};
+
+/// Notes a request that is sent to a target for the first time.
 void NoteRequest(const RepeatRules& rules,
                  Millis now,
                  RepeatAllowance& allowance);
@@ -62,12 +107,36 @@
                 Millis now,
                 RepeatAllowance& allowance);
 
-/// Repeats that may still be made now; below 0 if more were made than allowed.
-double RepeatsLeft(const RepeatRules& rules,
-                   Millis now,
-                   RepeatAllowance& allowance);
+/// What this node tells the others.
+RepeatCounts CountsOf(const RepeatRules& rules,
+                      Millis now,
+                      RepeatAllowance& allowance);
+
+/// Takes over what an earlier start of this node told another one last, as if
+/// its repeats were made just now.
+void Remember(const RepeatRules& rules,
+              Millis now,
+              const RepeatCounts& told,
+              RepeatAllowance& allowance);
+
+/// What a node may do now, and has done.
+struct RepeatRoom {
+  double bound = 0;
+  double repeats = 0;
+  /// The part of the bound that grows with the requests.
+  double by_ratio = 0;
+};
+
+/// The window of this node that is tightest, of those that end now or later.
+RepeatRoom RoomForRepeats(const RepeatRules& rules,
+                          Millis now,
+                          RepeatAllowance& allowance);
+
+/// Whether the sums of what nodes told leave room for one more.
+bool HasSharedRoom(const RepeatRules& rules, const RepeatCounts& sums);
 
-/// Takes one repeat; false if there is none left for a request at `place`.
+/// Takes one repeat; false if there is none left for a request at `place`. Asks
+/// in any case.
 bool TakeRepeat(const RepeatRules& rules,
                 double place,
                 Millis now,
--- a/libs/control/include/almondlink/control/target_health.h
+++ b/libs/control/include/almondlink/control/target_health.h
@@ -6,19 +6,34 @@
 #include "almondlink/base/clock.h"
 
 /// Outlier targets are set aside by the outcomes that this node saw itself;
-/// what a target reports of its health is never asked. A target set aside is
+/// what a target reports of its health is never asked. Where all targets of a
+/// service fail alike none is an outlier: setting one aside would only take its
+/// slots away. A target set aside is
 /// tried again after a wait that doubles up to a limit, by one request at a
 /// time, until a few succeed.
 namespace almondlink::control {
 
 enum class HealthState { kGood, kSetAside, kTrying };
 
+/// When a target is set aside.
+struct HealthRules {
+  /// Failures in a row; 0: never.
+  std::uint32_t failures = 5;
+  /// It must fail so many times as often as the others, and a tenth more. 0:
+  /// whatever the others do.
+  double outlier_factor = 1.5;
+};
+
 /// State of one target at one node. Plain data; one thread at a time.
 struct TargetHealth {
   HealthState state = HealthState::kGood;
   std::uint32_t failures_in_row = 0;
   std::uint32_t successes_in_row = 0;
   std::uint32_t times_set_aside = 0;
+  /// Part of the last few dozen outcomes that were failures.
+  double failing = 0;
+  /// Part of the last few dozen answers that were failures of the target's own.
+  double erring = 0;
   Millis until;
   bool is_trial_out = false;
   /// When the trial went out; one that never came back does not block.
@@ -27,8 +42,17 @@
 
 /// Takes one outcome: `is_failure` means the target or its node failed (lost,
 /// unreachable, timed out, bad answer), not that it refused. True if the target
-/// was set aside by it.
-bool NoteHealth(Millis now, bool is_failure, TargetHealth& health);
+/// was set aside by it. `failing_others`: mean of `failing` over the service's
+/// other targets.
+bool NoteHealth(const HealthRules& rules,
+                Millis now,
+                bool is_failure,
+                double failing_others,
+                TargetHealth& health);
+
+/// Takes whether an answer was a failure of the target's own, which does not
+/// set it aside.
+void NoteError(bool is_error, TargetHealth& health);
 
 /// Whether the target may get a request now.
 bool MayUse(Millis now, const TargetHealth& health);
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -1,6 +1,7 @@
 #include "almondlink/control/chain_admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace almondlink::control {
@@ -24,12 +25,17 @@
 /// Rounds in which the least share and the share of all find each other; each
 /// round halves what is between them.
 constexpr int kLeastRounds = 4;
+/// Rounds in which the level of sharing is closed in on, each by half: a
+/// millionth.
+constexpr int kLevelRounds = 20;
 
 /// Slots that one route wants at one service if all of it were let in.
 struct Wanted {
   std::uint32_t route = 0;
   std::uint32_t priority = 0;
   double slots = 0;
+  /// Slots for one root request a second.
+  double cost = 0;
   /// Slots for the least share, and as many as a less urgent route gets so.
   double least = 0;
   double no_fewer = 0;
@@ -100,6 +106,20 @@
   return seen;
 }
 
+/// What a request weighs when room is shared by cost. Calls whose root is not
+/// known weigh nothing: their room is not divided.
+double WeightOf(double by_cost, const Wanted& entry) {
+  return entry.cost > 0 ? std::pow(entry.cost, by_cost) : 0;
+}
+
+/// Slots that a route gets besides at that level of sharing: of what it misses
+/// the part that is the level over its weight.
+double MoreAt(double level, double by_cost, const Wanted& entry) {
+  const double weight = WeightOf(by_cost, entry);
+  const double part = weight > level ? level / weight : 1;
+  return part * (entry.slots - entry.granted);
+}
+
 /// Gives a part of the room to all alike, each up to what it wants: a kind that
 /// needs little is kept nearly whole by it, and callers that repeat at once,
 /// which multiply what their route wants, gain nothing.
@@ -133,9 +153,44 @@
   return part * missing;
 }
 
+/// Shares what is left among routes of one priority. A request that takes four
+/// times the slots of another keeps three others out, so its route's share
+/// falls with its cost: the same room serves more callers. Returns what it
+/// gave.
+double GrantByCost(double by_cost,
+                   double room,
+                   std::vector<Wanted>::iterator first,
+                   std::vector<Wanted>::iterator end) {
+  double missing = 0;
+  double high = 0;
+  for (auto entry = first; entry != end; ++entry) {
+    missing += entry->slots - entry->granted;
+    high = std::max(high, WeightOf(by_cost, *entry));
+  }
+  const auto given_at = [&](double level) {
+    double sum = 0;
+    for (auto entry = first; entry != end; ++entry) {
+      sum += MoreAt(level, by_cost, *entry);
+    }
+    return sum;
+  };
+  double low = 0;
+  if (missing > room) {
+    for (int round = 0; round < kLevelRounds; ++round) {
+      const double middle = (low + high) / 2;
+      (given_at(middle) > room ? high : low) = middle;
+    }
+  }
+  const double level = missing > room ? low : high;
+  const double given = given_at(level);
+  for (auto entry = first; entry != end; ++entry) {
+    entry->granted += MoreAt(level, by_cost, *entry);
+  }
+  return given;
+}
+
 /// Grants the assured part first, then what keeps routes from being shut out,
-/// then by priority; routes of one priority get the same part of what they
-/// want.
+/// then by priority.
 void Grant(const ChainRules& rules, double room, std::vector<Wanted>& all) {
   room -= GrantAssured(rules.assured_room * room, all);
   room -= RaiseTo(&Wanted::least, room, all);
@@ -147,16 +202,7 @@
     const auto end = std::find_if(first, all.end(), [&](const Wanted& entry) {
       return entry.priority != first->priority;
     });
-    double missing = 0;
-    for (auto entry = first; entry != end; ++entry) {
-      missing += entry->slots - entry->granted;
-    }
-    const double part =
-        missing > 0 ? std::clamp(room / missing, 0.0, 1.0) : 1.0;
-    for (auto entry = first; entry != end; ++entry) {
-      entry->granted += part * (entry->slots - entry->granted);
-    }
-    room = std::max(0.0, room - missing * part);
+    room = std::max(0.0, room - GrantByCost(rules.by_cost, room, first, end));
     first = end;
   }
 }
@@ -194,9 +240,10 @@
       wanted.slots = calls.calls_per_s * calls.work_ms / kMillisPerSecond;
     } else {
       wanted.priority = known->second.priority;
-      wanted.slots =
-          root->second.offered_per_s * calls.work_ms / kMillisPerSecond *
+      wanted.cost =
+          calls.work_ms / kMillisPerSecond *
           CallsPerRoot(service.service, calls, root->second, admission);
+      wanted.slots = root->second.offered_per_s * wanted.cost;
     }
     contest.all.push_back(wanted);
   }
@@ -237,7 +284,8 @@
 /// slots than a less urgent route gets so, unless that is all it wants.
 /// Without the second part the guard of a kind with long chains would be paid
 /// by whichever kind comes next in urgency, however little that one needs.
-void SetLeast(double least,
+void SetLeast(bool has_no_fewer,
+              double least,
               const std::map<std::uint32_t, RootRate>& roots,
               const Fits& fits,
               std::vector<Wanted>& all) {
@@ -253,7 +301,7 @@
     if (roots.count(entry.route) > 0) {
       entry.least = part * entry.slots;
       most = std::max(most, entry.least);
-      entry.no_fewer = std::min(entry.slots, most);
+      entry.no_fewer = has_no_fewer ? std::min(entry.slots, most) : 0;
     }
   }
 }
@@ -271,7 +319,7 @@
     const double least =
         rules.least_part * ShareOfAll(roots, contest.all, fits);
     contest.all = wanted;
-    SetLeast(least, roots, fits, contest.all);
+    SetLeast(rules.has_no_fewer, least, roots, fits, contest.all);
     Grant(rules, contest.room, contest.all);
   }
 }
@@ -370,7 +418,10 @@
   Settle(rules, roots, contests, fits);
   for (auto& [route, state] : admission.routes) {
     const Fit& fit = fits[route];
-    state.share += rules.step * (fit.share - state.share);
+    // What is offered fits, whatever was let in before: nobody is refused while
+    // the share finds its way back.
+    const double step = fit.bound_by.empty() ? 1 : rules.step;
+    state.share += step * (fit.share - state.share);
     state.bound_by = fit.bound_by;
     if (state.share >= kWhole) {
       state.share = 1;
--- a/libs/control/src/demand_meter.cc
+++ b/libs/control/src/demand_meter.cc
@@ -21,7 +21,7 @@
 void UpdateRate(double span_ms, double memory_ms, RateMeter& meter) {
   const double keep = std::exp(-span_ms / memory_ms);
   const double rate = meter.events / span_ms * kMillisPerSecond;
-  meter.per_s = keep * meter.per_s + (1 - keep) * rate;
+  meter.per_s = std::max(0.0, keep * meter.per_s + (1 - keep) * rate);
   meter.events = 0;
 }
 
@@ -29,6 +29,10 @@
   ++meter.routes[route].arrivals.events;
 }
 
+void NoteTurnedAway(std::uint32_t route, DemandMeter& meter) {
+  --meter.routes[route].arrivals.events;
+}
+
 void NoteWork(std::uint32_t route,
               Millis now,
               LatencyMs work,
--- a/libs/control/src/instance_ledger.cc
+++ b/libs/control/src/instance_ledger.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Part of the announced slots that is used. Targets slow down when nearly full
-/// (a third slower above 95 % on the deployments known), and a new connection
-/// may hold a slot for a moment.
-constexpr double kUsedPart = 0.94;
 /// Starts remembered beside the current one.
 constexpr std::size_t kMostRemembered = 64;
 /// A start that seems earlier by its clock is believed after so long without a
@@ -165,7 +161,7 @@
   if (ledger.phase == InstancePhase::kNone) {
     return 0;
   }
-  const double used = ledger.current.capacity * kUsedPart;
+  const double used = ledger.current.capacity * ledger.usable_part;
   return std::max(1U, static_cast<std::uint32_t>(used));
 }
 
--- a/libs/control/src/placement.cc
+++ b/libs/control/src/placement.cc
@@ -7,17 +7,11 @@
 
 namespace {
 
-/// Two reports of a target: one may come late or be lost.
-constexpr Millis kTargetsReport{3000};
 /// A root request waits this part of its latency target, as for a slot.
 constexpr std::int64_t kRootWaitPart = 2;
 /// Time that a request needs after its wait.
 constexpr Millis kLeastLeft{30};
 
-/// Another zone is used when it is this much faster: bytes between zones are
-/// paid for, and the way there and back takes some milliseconds.
-constexpr double kZoneFactor = 1.3;
-constexpr double kZoneMs = 3;
 /// Shape of the wait below full occupancy: 2 % of the work at one half, a half
 /// of it at 0.8, twice the work when every slot is taken.
 constexpr double kWaitPower = 6;
@@ -63,7 +57,25 @@
   return known == 0 ? kUnknownWorkMs : sum / static_cast<double>(known);
 }
 
-std::optional<std::size_t> CheaperOfTwo(const std::vector<PlaceView>& views,
+double OccupiedPart(const PlaceView& view) {
+  return static_cast<double>(view.told_load + view.sent_since) /
+         std::max(1U, view.slots);
+}
+
+double CostOf(const PlaceRules& rules, const PlaceView& view, double typical) {
+  const double slower = 1 + rules.failing_weight * view.health.failing;
+  if (rules.is_by_time) {
+    return slower * PlaceCost(view, typical);
+  }
+  PlaceView alike = view;
+  alike.work_ms = typical;
+  return slower * PlaceCost(alike, typical);
+}
+
+/// The cheaper of two; the less occupied where either is well within the time
+/// that a request may take.
+std::optional<std::size_t> CheaperOfTwo(const PlaceRules& rules,
+                                        const std::vector<PlaceView>& views,
                                         const std::vector<std::size_t>& from,
                                         double typical_ms,
                                         double first_draw,
@@ -80,8 +92,15 @@
         from.size() - 2, static_cast<std::size_t>(second_draw * (count - 1)));
     second = (first + 1 + step) % from.size();
   }
-  const bool is_first = PlaceCost(views[from[first]], typical_ms) <=
-                        PlaceCost(views[from[second]], typical_ms);
+  const double first_cost = CostOf(rules, views[from[first]], typical_ms);
+  const double second_cost = CostOf(rules, views[from[second]], typical_ms);
+  const double first_part = OccupiedPart(views[from[first]]);
+  const double second_part = OccupiedPart(views[from[second]]);
+  const bool is_either_good =
+      std::max(first_cost, second_cost) <= rules.patience_ms;
+  const bool is_first = is_either_good && first_part != second_part
+                            ? first_part < second_part
+                            : first_cost <= second_cost;
   return is_first ? from[first] : from[second];
 }
 
@@ -97,31 +116,37 @@
   return work * (1 + wait);
 }
 
-std::optional<std::size_t> ChoosePlace(const std::vector<PlaceView>& views,
+std::optional<std::size_t> ChoosePlace(const PlaceRules& rules,
+                                       const std::vector<PlaceView>& views,
                                        Millis now,
                                        const PlaceDraws& draws) {
   const Candidates found = FindCandidates(views, now);
   const double typical_ms = TypicalWork(views);
-  const std::optional<std::size_t> near = CheaperOfTwo(
-      views, found.near, typical_ms, draws.near_first, draws.near_second);
+  const std::optional<std::size_t> near =
+      CheaperOfTwo(rules, views, found.near, typical_ms, draws.near_first,
+                   draws.near_second);
   const std::optional<std::size_t> far = CheaperOfTwo(
-      views, found.far, typical_ms, draws.far_first, draws.far_second);
+      rules, views, found.far, typical_ms, draws.far_first, draws.far_second);
   if (!near.has_value() || !far.has_value()) {
     return near.has_value() ? near : far;
   }
-  const double near_cost = PlaceCost(views[*near], typical_ms);
-  const double far_cost = PlaceCost(views[*far], typical_ms);
-  return near_cost <= kZoneFactor * far_cost + kZoneMs ? near : far;
+  const double near_cost = CostOf(rules, views[*near], typical_ms);
+  const double far_cost = CostOf(rules, views[*far], typical_ms);
+  const bool is_near =
+      near_cost <= rules.patience_ms ||
+      near_cost <= rules.zone_factor * far_cost + rules.zone_ms;
+  return is_near ? near : far;
 }
 
-Millis WaitForTarget(Millis without,
+Millis WaitForTarget(Millis expected,
+                     Millis without,
                      bool is_root,
                      Millis latency_target,
                      Millis left) {
-  const Millis expected = kTargetsReport - without;
   const Millis useful =
       is_root ? Millis{latency_target.count / kRootWaitPart} : left;
-  return std::max(Millis{0}, std::min({expected, useful, left - kLeastLeft}));
+  return std::max(Millis{0},
+                  std::min({expected - without, useful, left - kLeastLeft}));
 }
 
 }  // namespace almondlink::control
--- a/libs/control/src/target_health.cc
+++ b/libs/control/src/target_health.cc
@@ -6,11 +6,15 @@
 
 namespace {
 
-constexpr std::uint32_t kFailuresToSetAside = 5;
 constexpr std::uint32_t kSuccessesToReturn = 3;
 constexpr Millis kFirstWait{500};
 constexpr std::uint32_t kMostDoublings = 4;
 constexpr Millis kTrialLife{1000};
+/// Weight of one outcome: some twenty of them are remembered, so that five
+/// failures in a row stand out from a target that never failed.
+constexpr double kOutcomeWeight = 0.05;
+/// How much more than the others an outlier fails at least.
+constexpr double kOutlierOver = 0.1;
 
 void SetAside(Millis now, TargetHealth& health) {
   const std::uint32_t doublings =
@@ -38,8 +42,13 @@
 
 }  // namespace
 
-bool NoteHealth(Millis now, bool is_failure, TargetHealth& health) {
+bool NoteHealth(const HealthRules& rules,
+                Millis now,
+                bool is_failure,
+                double failing_others,
+                TargetHealth& health) {
   health.is_trial_out = false;
+  health.failing += kOutcomeWeight * ((is_failure ? 1 : 0) - health.failing);
   if (!is_failure) {
     NoteSuccess(health);
     return false;
@@ -47,13 +56,22 @@
   health.successes_in_row = 0;
   ++health.failures_in_row;
   const bool is_on_trial = health.state != HealthState::kGood;
-  if (is_on_trial || health.failures_in_row >= kFailuresToSetAside) {
+  const bool is_enough =
+      rules.failures > 0 && health.failures_in_row >= rules.failures;
+  const bool is_outlier =
+      rules.outlier_factor == 0 ||
+      health.failing > rules.outlier_factor * failing_others + kOutlierOver;
+  if ((is_on_trial || is_enough) && is_outlier) {
     SetAside(now, health);
     return true;
   }
   return false;
 }
 
+void NoteError(bool is_error, TargetHealth& health) {
+  health.erring += kOutcomeWeight * ((is_error ? 1 : 0) - health.erring);
+}
+
 bool MayUse(Millis now, const TargetHealth& health) {
   switch (health.state) {
     case HealthState::kGood:
--- a/libs/control/tests/chain_admission_test.cc
+++ b/libs/control/tests/chain_admission_test.cc
@@ -1,4 +1,5 @@
 #include "almondlink/control/chain_admission.h"
+#include "almondlink/control/demand_meter.h"
 
 #include <catch2/catch.hpp>
 #include <cmath>
@@ -175,6 +176,14 @@
   return static_cast<double>(count.whole) / count.asked;
 }
 
+/// Rules that plan for less than all slots, from which some figures below are
+/// worked out.
+ChainRules WithReserve() {
+  ChainRules rules;
+  rules.planned_share = 0.94;
+  return rules;
+}
+
 TEST_CASE("with room for all nothing is refused") {
   Chain chain(140);
   chain.Run(3000);
@@ -278,7 +287,7 @@
   roots[kCheck] = {kCheck, 1000, 1000};
   roots[kDownload] = {kDownload, 300, 300};
   for (int i = 0; i < 20; ++i) {
-    UpdateShares(ChainRules(), {{"archive", {archive}}, {"deep", {deep}}},
+    UpdateShares(WithReserve(), {{"archive", {archive}}, {"deep", {deep}}},
                  roots, admission);
   }
   // The deep service takes 8,000 of 12,500 calls' worth: 59 % of the checks.
@@ -309,7 +318,7 @@
     target.demand = {
         {kCheck, 429 * 8, 22}, {kRelease, 163 * 8, 22}, {kLookup, 122, 36}};
     for (int i = 0; i < 20; ++i) {
-      UpdateShares(ChainRules(), {{"short", {target}}}, roots, admission);
+      UpdateShares(WithReserve(), {{"short", {target}}}, roots, admission);
     }
     double offered = 0;
     double let_in = 0;
@@ -348,7 +357,7 @@
   std::map<std::uint32_t, RootRate> roots;
   roots[kCheck] = {kCheck, 800, 512};
   for (int i = 0; i < 20; ++i) {
-    UpdateShares(ChainRules(), {{"short", {good, slow}}}, roots, admission);
+    UpdateShares(WithReserve(), {{"short", {good, slow}}}, roots, admission);
   }
   // 200 slots by name, but hardly more than the 100 of the good one.
   REQUIRE(ShareOf(kCheck, admission) < 0.8);
@@ -385,5 +394,110 @@
   REQUIRE(ShareOf(kCheck, admission) == 1.0);
 }
 
+constexpr std::uint32_t kSearch = 23;
+
+/// Two routes of one priority at a service: a lookup of a chain that takes 60
+/// ms of its slots, and a search that takes 240. Returns their shares.
+std::pair<double, double> SharesByCost(double by_cost, std::uint32_t slots) {
+  ChainAdmission admission;
+  LetIn(kCheck, 2, 0, admission);
+  LetIn(kSearch, 2, 0, admission);
+  std::map<std::uint32_t, RootRate> roots;
+  roots[kCheck] = {kCheck, 900, 900};
+  roots[kSearch] = {kSearch, 165, 165};
+  TargetRoom target;
+  target.slots = slots;
+  target.work_ms = 25;
+  target.demand = {{kCheck, 900 * 4, 15}, {kSearch, 165, 240}};
+  ChainRules rules;
+  rules.by_cost = by_cost;
+  for (int i = 0; i < 20; ++i) {
+    UpdateShares(rules, {{"search", {target}}}, roots, admission);
+  }
+  return {ShareOf(kCheck, admission), ShareOf(kSearch, admission)};
+}
+
+TEST_CASE("equals share room by what a request costs") {
+  // Pattern: a service short of a tenth to a half of its slots, wanted by cheap
+  // and dear requests of one priority. The same part of each served fewer
+  // callers than the slots allow.
+  for (const std::uint32_t slots : {47U, 60U, 75U, 85U}) {
+    const auto [lookup, search] = SharesByCost(1, slots);
+    const auto [lookup_alike, search_alike] = SharesByCost(0, slots);
+    INFO("slots " << slots << ": " << lookup << ", " << search << " against "
+                  << lookup_alike << ", " << search_alike);
+    REQUIRE(900 * lookup + 165 * search >
+            1.05 * (900 * lookup_alike + 165 * search_alike));
+    // The dearer kind is not shut out.
+    REQUIRE(search > 0.3 * lookup);
+    // All slots are given, and no more.
+    const double used = 900 * lookup * 0.06 + 165 * search * 0.24;
+    REQUIRE(used <= slots * 1.005);
+    REQUIRE(used >= slots * 0.99);
+  }
+}
+
+TEST_CASE("sharing by cost keeps the order of priorities") {
+  ChainAdmission admission;
+  LetIn(kRelease, 0, 0, admission);
+  LetIn(kCheck, 2, 0, admission);
+  LetIn(kSearch, 2, 0, admission);
+  std::map<std::uint32_t, RootRate> roots;
+  roots[kRelease] = {kRelease, 275, 275};
+  roots[kCheck] = {kCheck, 900, 900};
+  roots[kSearch] = {kSearch, 165, 165};
+  TargetRoom target;
+  target.slots = 60;
+  target.work_ms = 25;
+  target.demand = {
+      {kRelease, 275 * 4, 15}, {kCheck, 900 * 4, 15}, {kSearch, 165, 240}};
+  for (int i = 0; i < 20; ++i) {
+    UpdateShares(ChainRules(), {{"search", {target}}}, roots, admission);
+  }
+  REQUIRE(ShareOf(kRelease, admission) > 0.95);
+  REQUIRE(ShareOf(kCheck, admission) < 0.8);
+}
+
+TEST_CASE("calls that targets turn away are no demand for slots") {
+  // Pattern: all targets of a service refuse half of their calls while half of
+  // their slots are empty. Counted as demand, they had roots refused as if the
+  // service were full.
+  DemandMeter meter;
+  for (int tick = 1; tick <= 100; ++tick) {
+    for (int i = 0; i < 100; ++i) {
+      NoteDemand(kCheck, meter);
+      if (i % 2 == 0) {
+        NoteTurnedAway(kCheck, meter);
+      } else {
+        NoteWork(kCheck, Millis{tick * 100}, LatencyMs{15}, meter);
+      }
+    }
+    UpdateDemand(Millis{tick * 100}, meter);
+  }
+  const std::vector<RouteDemand> demand = DemandOf(meter);
+  REQUIRE(demand.size() == 1);
+  REQUIRE(demand[0].calls_per_s > 450);
+  REQUIRE(demand[0].calls_per_s < 550);
+  REQUIRE(demand[0].work_ms == Approx(15));
+}
+
+TEST_CASE("all are let in as soon as what is offered fits again") {
+  // Pattern: the only target of a service is away for a moment and comes back
+  // idle. Half of the requests, then a quarter, were refused in the tenths of a
+  // second after.
+  ChainAdmission admission;
+  LetIn(kCheck, 2, 0, admission);
+  std::map<std::uint32_t, RootRate> roots;
+  roots[kCheck] = {kCheck, 100, 100};
+  TargetRoom target;
+  target.work_ms = 20;
+  target.demand = {{kCheck, 100, 20}};
+  UpdateShares(ChainRules(), {{"short", {target}}}, roots, admission);
+  REQUIRE(ShareOf(kCheck, admission) < 0.6);
+  target.slots = 40;
+  UpdateShares(ChainRules(), {{"short", {target}}}, roots, admission);
+  REQUIRE(ShareOf(kCheck, admission) == 1);
+}
+
 }  // namespace
 }  // namespace almondlink::control
--- a/libs/control/tests/relay_decisions_test.cc
+++ b/libs/control/tests/relay_decisions_test.cc
@@ -29,21 +29,80 @@
 TEST_CASE("the own zone is used while another is not much faster") {
   std::vector<PlaceView> views = {Open(40, 20, 20), Open(40, 5, 20)};
   views[0].is_own_zone = true;
-  REQUIRE(ChoosePlace(views, Millis{0}, PlaceDraws()) == 0U);
+  REQUIRE(ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()) == 0U);
   views[0].told_load = 60;
-  REQUIRE(ChoosePlace(views, Millis{0}, PlaceDraws()) == 1U);
+  REQUIRE(ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()) == 1U);
 }
 
 TEST_CASE("a target that just joined is as good as the others") {
   std::vector<PlaceView> views = {Open(40, 30, 20), Open(40, 0, 0)};
-  REQUIRE(ChoosePlace(views, Millis{0}, PlaceDraws()) == 1U);
+  REQUIRE(ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()) == 1U);
+}
+
+TEST_CASE("the own zone is used while an answer comes well within its target") {
+  // Pattern: calls of 15 ms with a latency target of 300, and a target of the
+  // own zone half as fast as another's. Crossing zones made the calls a few
+  // milliseconds faster than anyone needs.
+  std::vector<PlaceView> views = {Open(47, 5, 30), Open(47, 5, 10)};
+  views[0].is_own_zone = true;
+  PlaceRules rules;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 1U);
+  rules.patience_ms = 99;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 0U);
+  // Not when it is full, and not where its time matters.
+  views[0].told_load = 100;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 1U);
+  views[0].told_load = 5;
+  rules.patience_ms = 20;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 1U);
+}
+
+TEST_CASE(
+    "within that time load is spread, and one that joined gets its part") {
+  // Pattern: a target that just joined is slower for some seconds than the
+  // other of its zone. By time alone it got nothing while load was light.
+  std::vector<PlaceView> views = {Open(31, 2, 40), Open(31, 0, 80)};
+  views[0].is_own_zone = true;
+  views[1].is_own_zone = true;
+  PlaceRules rules;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 0U);
+  rules.patience_ms = 99;
+  REQUIRE(ChoosePlace(rules, views, Millis{0}, PlaceDraws()) == 1U);
+}
+
+TEST_CASE("a target that fails part of its requests counts as slower") {
+  // Pattern: two of three targets lose two fifths of their answers; five
+  // failures in a row are rare, so neither is set aside.
+  std::vector<PlaceView> views = {Open(47, 20, 15), Open(47, 20, 15)};
+  views[0].health.failing = 0.4;
+  REQUIRE(ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()) == 1U);
+  // It still takes what the other cannot.
+  views[1].told_load = 100;
+  REQUIRE(ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()) == 0U);
+}
+
+TEST_CASE("where all targets fail alike none is set aside") {
+  // Pattern: all targets of a service refuse half of their calls. Each failed
+  // five in a row now and then, and a third of the slots was out of use.
+  TargetHealth health;
+  HealthRules rules;
+  for (int i = 0; i < 200; ++i) {
+    NoteHealth(rules, Millis{i}, i % 2 == 0, 0.5, health);
+  }
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE_FALSE(NoteHealth(rules, Millis{200}, true, 0.5, health));
+  }
+  REQUIRE(MayUse(Millis{201}, health));
+  // One that alone fails is.
+  REQUIRE(NoteHealth(rules, Millis{202}, true, 0.02, health));
 }
 
 TEST_CASE("neither closed nor tried targets are chosen") {
   std::vector<PlaceView> views = {Open(40, 0, 20), Open(40, 0, 20)};
   views[0].is_open = false;
   views[1].is_tried = true;
-  REQUIRE_FALSE(ChoosePlace(views, Millis{0}, PlaceDraws()).has_value());
+  REQUIRE_FALSE(
+      ChoosePlace(PlaceRules(), views, Millis{0}, PlaceDraws()).has_value());
 }
 
 // ---- allowance of repeats ----
@@ -69,6 +128,7 @@
 
 TEST_CASE("repeats that came with a repeated run leave less for others") {
   RepeatRules rules;
+  rules.used_part = 0.5;
   RepeatAllowance allowance;
   for (int i = 0; i < 100; ++i) {
     NoteRequest(rules, Millis{1000}, allowance);
@@ -106,7 +166,7 @@
     // A hundred chains a second; a third of each priority.
     const Millis now{1000 + i * 10};
     const std::uint32_t priority = static_cast<std::uint32_t>(i) % 3;
-    const double place = RepeatPlace(priority, random());
+    const double place = RepeatPlace(priority, kCalls, random());
     bool is_whole = true;
     for (int call = 0; call < kCalls && is_whole; ++call) {
       NoteRequest(rules, now, allowance);
@@ -139,10 +199,12 @@
 }
 
 TEST_CASE("the place of a request is by priority first") {
-  REQUIRE(RepeatPlace(0, ~0ULL) < RepeatPlace(1, 0));
-  REQUIRE(RepeatPlace(1, ~0ULL) < RepeatPlace(2, 0));
-  REQUIRE(RepeatPlace(7, ~0ULL) < 1);
-  REQUIRE(RepeatPlace(2, 1ULL << 40) < RepeatPlace(2, 1ULL << 50));
+  REQUIRE(RepeatPlace(0, 8, ~0ULL) < RepeatPlace(1, 1, 0));
+  REQUIRE(RepeatPlace(1, 8, ~0ULL) < RepeatPlace(2, 1, 0));
+  REQUIRE(RepeatPlace(7, 8, ~0ULL) < 1);
+  REQUIRE(RepeatPlace(2, 1, 1ULL << 40) < RepeatPlace(2, 1, 1ULL << 50));
+  // Among equals first what one repeat makes whole.
+  REQUIRE(RepeatPlace(2, 1, ~0ULL) < RepeatPlace(2, 4, 0));
 }
 
 TEST_CASE("a late report of an ended instance does not bring it back") {
@@ -209,13 +271,16 @@
   // Found on the days that end with all hosts losing power: in the second and a
   // half until all targets had reported themselves, calls of roots that were
   // let in were refused, and the roots failed.
-  REQUIRE(WaitForTarget(Millis{100}, false, aim, left) == Millis{2900});
-  REQUIRE(WaitForTarget(Millis{100}, true, aim, left) == Millis{500});
-  REQUIRE(WaitForTarget(Millis{2800}, true, aim, left) == Millis{200});
-  REQUIRE(WaitForTarget(Millis{3000}, false, aim, left) == Millis{0});
-  REQUIRE(WaitForTarget(Millis{60'000}, true, aim, left) == Millis{0});
-  REQUIRE(WaitForTarget(Millis{100}, false, aim, Millis{200}) == Millis{170});
-  REQUIRE(WaitForTarget(Millis{100}, false, aim, Millis{10}) == Millis{0});
+  const Millis report{3000};
+  REQUIRE(WaitForTarget(report, Millis{100}, false, aim, left) == Millis{2900});
+  REQUIRE(WaitForTarget(report, Millis{100}, true, aim, left) == Millis{500});
+  REQUIRE(WaitForTarget(report, Millis{2800}, true, aim, left) == Millis{200});
+  REQUIRE(WaitForTarget(report, Millis{3000}, false, aim, left) == Millis{0});
+  REQUIRE(WaitForTarget(report, Millis{60'000}, true, aim, left) == Millis{0});
+  REQUIRE(WaitForTarget(report, Millis{100}, false, aim, Millis{200}) ==
+          Millis{170});
+  REQUIRE(WaitForTarget(report, Millis{100}, false, aim, Millis{10}) ==
+          Millis{0});
 }
 
 }  // namespace
--- /dev/null
+++ b/libs/control/tests/repeat_allowance_test.cc
@@ -0,0 +1,200 @@
+#include "almondlink/control/repeat_allowance.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <random>
+#include <vector>
+
+/// The bound on repeats over many nodes, counted from outside as operators
+/// count it: in any window, by arrivals.
+namespace almondlink::control {
+namespace {
+
+constexpr int kNodes = 13;
+constexpr int kSends = 12;
+constexpr std::int64_t kEnd = 40'000;
+constexpr std::int64_t kTold = 200;
+
+struct Node {
+  RepeatAllowance allowance;
+  std::int64_t started = -20'000;
+  bool is_remembered = false;
+  /// Its clock against the others'.
+  std::int64_t offset = 0;
+  RepeatCounts told;
+};
+
+/// Requests a second for one service at a node, and the part refused.
+struct Load {
+  double per_s = 0;
+  double refused = 0;
+};
+
+struct Seen {
+  /// Arrivals by millisecond: requests, and those beyond the first of each.
+  std::vector<int> requests = std::vector<int>(kEnd);
+  std::vector<int> repeats = std::vector<int>(kEnd);
+  int whole = 0;
+  int asked = 0;
+
+  int Sum(const std::vector<int>& counts, std::int64_t end) const {
+    int sum = 0;
+    for (std::int64_t at = std::max<std::int64_t>(0, end - 10'000);
+         at < std::max<std::int64_t>(0, end); ++at) {
+      sum += counts[static_cast<std::size_t>(at)];
+    }
+    return sum;
+  }
+  /// Repeats over the bound, in the worst window; at most 1 if it is kept.
+  double Worst(const RepeatRules& rules, std::int64_t step = 50) const {
+    double worst = 0;
+    for (std::int64_t end = 1000; end <= kEnd; end += step) {
+      const int most = std::max({this->Sum(this->requests, end),
+                                 this->Sum(this->requests, end - 5000),
+                                 this->Sum(this->requests, end - 10'000)});
+      worst = std::max(worst, this->Sum(this->repeats, end) /
+                                  (rules.ratio * most + rules.fixed));
+    }
+    return worst;
+  }
+};
+
+RepeatRules Rules() {
+  RepeatRules rules;
+  rules.fixed = 50;
+  rules.nodes = kNodes;
+  rules.used_part = 0.9;
+  return rules;
+}
+
+/// Plays all nodes, millisecond by millisecond. `load_of(node, now)`;
+/// `restarts(node, now)`: the node starts anew in this millisecond, and learns
+/// what it told before if `has_peers`.
+template <typename LoadOf, typename Restarts>
+Seen Play(const LoadOf& load_of,
+          const Restarts& restarts,
+          bool has_peers = true) {
+  RepeatRules rules = Rules();
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::vector<Node> nodes(kNodes);
+  for (Node& node : nodes) {
+    node.offset = static_cast<std::int64_t>(1e7 * draw(random));
+  }
+  Seen seen;
+  for (std::int64_t now = 0; now < kEnd; ++now) {
+    for (int i = 0; i < kNodes; ++i) {
+      Node& node = nodes[static_cast<std::size_t>(i)];
+      const Millis own{now + node.offset};
+      if (restarts(i, now)) {
+        node.allowance = RepeatAllowance();
+        node.started = now;
+        node.is_remembered = has_peers;
+        if (has_peers) {
+          Remember(rules, own, node.told, node.allowance);
+        }
+        node.told = RepeatCounts();
+      }
+      rules.is_fresh = !node.is_remembered && now - node.started < 10'000;
+      if (now % kTold == i) {
+        node.told = CountsOf(rules, own, node.allowance);
+      }
+      const Load load = load_of(i, now);
+      std::poisson_distribution<int> arrivals(
+          std::max(1e-9, load.per_s / 1000));
+      for (int request = arrivals(random); request > 0; --request) {
+        NoteRequest(rules, own, node.allowance);
+        ++seen.requests[static_cast<std::size_t>(now)];
+        ++seen.asked;
+        bool is_whole = draw(random) >= load.refused;
+        for (int sends = 1; !is_whole && sends < kSends; ++sends) {
+          RepeatCounts sums = CountsOf(rules, own, node.allowance);
+          for (const Node& other : nodes) {
+            if (&other != &node && other.told.repeats > 0) {
+              sums.now += other.told.now;
+              sums.half_before += other.told.half_before;
+              sums.before += other.told.before;
+              sums.repeats += other.told.repeats;
+            }
+          }
+          if (!HasSharedRoom(rules, sums) ||
+              !TakeRepeat(rules, 0, own, node.allowance)) {
+            break;
+          }
+          ++seen.repeats[static_cast<std::size_t>(now)];
+          is_whole = draw(random) >= load.refused;
+        }
+        seen.whole += is_whole ? 1 : 0;
+      }
+    }
+  }
+  return seen;
+}
+
+bool Never(int /*node*/, std::int64_t /*now*/) {
+  return false;
+}
+
+TEST_CASE("repeats of many nodes use most of the bound and keep it") {
+  // Pattern: all targets of a service refuse half for 8 s, and fewer requests
+  // come meanwhile, since chains of calls die early.
+  const auto load = [](int node, std::int64_t now) {
+    const bool is_short = now >= 15'000 && now < 23'000;
+    const double part = node < 3 ? 1.0 : 0.1;
+    return Load{part * (is_short ? 150 : 300), is_short ? 0.55 : 0.0};
+  };
+  const Seen seen = Play(load, Never);
+  const double used = seen.Worst(Rules());
+  REQUIRE(used <= 1);
+  REQUIRE(used > 0.8);
+}
+
+TEST_CASE("the bound holds while all is refused for long") {
+  const auto load = [](int /*node*/, std::int64_t now) {
+    const double swing = 1 + 0.5 * std::sin(static_cast<double>(now) / 2000);
+    return Load{60 * swing, now > 3000 ? 0.8 : 0.0};
+  };
+  REQUIRE(Play(load, Never).Worst(Rules()) <= 1);
+}
+
+TEST_CASE("the bound holds while load moves from node to node") {
+  // Each node had most of its requests in another window than the others.
+  const auto load = [](int node, std::int64_t now) {
+    const std::int64_t turn = now / 5000 % 3;
+    return Load{node % 3 == turn ? 300.0 : 30.0, now > 5000 ? 0.6 : 0.0};
+  };
+  REQUIRE(Play(load, Never).Worst(Rules()) <= 1);
+}
+
+TEST_CASE("the bound holds while nodes start anew") {
+  const auto load = [](int /*node*/, std::int64_t now) {
+    return Load{100, now > 8000 ? 0.5 : 0.0};
+  };
+  const auto restarts = [](int node, std::int64_t now) {
+    return now == 12'000 + node * 700 || now == 24'000 + node * 70;
+  };
+  REQUIRE(Play(load, restarts).Worst(Rules()) <= 1);
+}
+
+TEST_CASE("the bound holds when all nodes are lost at once") {
+  // Nobody remembers what was sent before.
+  const auto load = [](int /*node*/, std::int64_t now) {
+    return Load{100, now > 8000 ? 0.5 : 0.0};
+  };
+  const auto restarts = [](int /*node*/, std::int64_t now) {
+    return now == 20'000 || now == 33'000;
+  };
+  REQUIRE(Play(load, restarts, false).Worst(Rules()) <= 1);
+}
+
+TEST_CASE("a burst at the end of load does not break later windows") {
+  const auto load = [](int /*node*/, std::int64_t now) {
+    const bool is_last = now >= 19'000 && now < 20'000;
+    return Load{now < 20'000 ? 200.0 : 5.0, is_last ? 0.9 : 0.3};
+  };
+  REQUIRE(Play(load, Never).Worst(Rules()) <= 1);
+}
+
+}  // namespace
+}  // namespace almondlink::control
--- a/libs/control/tests/routing_test.cc
+++ b/libs/control/tests/routing_test.cc
@@ -86,28 +86,28 @@
   TargetHealth health;
   bool is_aside = false;
   for (int i = 0; i < 5; ++i) {
-    is_aside = NoteHealth(Millis{100}, true, health);
+    is_aside = NoteHealth(HealthRules(), Millis{100}, true, 0, health);
   }
   REQUIRE(is_aside);
   REQUIRE_FALSE(MayUse(Millis{200}, health));
   REQUIRE(MayUse(Millis{700}, health));
   NoteSent(Millis{700}, health);
   REQUIRE_FALSE(MayUse(Millis{710}, health));
-  NoteHealth(Millis{720}, false, health);
+  NoteHealth(HealthRules(), Millis{720}, false, 0, health);
   REQUIRE(MayUse(Millis{730}, health));
   NoteSent(Millis{730}, health);
-  NoteHealth(Millis{740}, false, health);
-  NoteHealth(Millis{750}, false, health);
+  NoteHealth(HealthRules(), Millis{740}, false, 0, health);
+  NoteHealth(HealthRules(), Millis{750}, false, 0, health);
   REQUIRE(health.state == HealthState::kGood);
 }
 
 TEST_CASE("a failed trial doubles the wait") {
   TargetHealth health;
   for (int i = 0; i < 5; ++i) {
-    NoteHealth(Millis{0}, true, health);
+    NoteHealth(HealthRules(), Millis{0}, true, 0, health);
   }
   NoteSent(Millis{500}, health);
-  REQUIRE(NoteHealth(Millis{500}, true, health));
+  REQUIRE(NoteHealth(HealthRules(), Millis{500}, true, 0, health));
   REQUIRE_FALSE(MayUse(Millis{1400}, health));
   REQUIRE(MayUse(Millis{1500}, health));
 }
--- a/libs/model/src/almondlink_path.cc
+++ b/libs/model/src/almondlink_path.cc
@@ -197,7 +197,7 @@
       answer.kind == ErrorKind::kNone && !answer.is_whole;
   const bool is_fault = IsTargetFault(answer.kind) ||
                         (is_failed_answer && !answer.is_call_failed);
-  control::NoteHealth(now, is_fault, view.health);
+  control::NoteHealth(control::HealthRules(), now, is_fault, 0, view.health);
   const bool is_from_node = answer.kind != ErrorKind::kPeerLost &&
                             answer.kind != ErrorKind::kPeerUnreachable;
   if (is_from_node) {
--- a/libs/model/src/relay_path.cc
+++ b/libs/model/src/relay_path.cc
@@ -14,7 +14,9 @@
 /// A link that is found silent is replaced after so long.
 constexpr double kReplacedMs = 2200;
 /// Instances that one request may be sent to; the users' usual figure.
-constexpr int kAttempts = 2;
+constexpr std::size_t kAttempts = 2;
+/// Sends of one request; targets that refused it may be asked again.
+constexpr int kSends = 12;
 /// A root may wait this part of its time for a slot. The daemon takes a half of
 /// its latency target, which is a quarter to a third of the time.
 constexpr double kRootWaitPart = 0.15;
@@ -40,6 +42,8 @@
   double deadline_ms = 0;
   double wait_until_ms = 0;
   std::vector<std::size_t> tried;
+  /// Those of them that refused it without running.
+  std::vector<std::size_t> refused_by;
   int attempts = 0;
   bool may_have_run = false;
   bool is_over = false;
@@ -142,14 +146,18 @@
   const OperationInfo& info = this->world.operations[call->spec.operation];
   Node& node = *this->nodes[call->spec.entry];
   std::vector<control::PlaceView>& views = node.views[info.service];
+  const bool is_again = call->tried.size() >= kAttempts;
+  const std::vector<std::size_t>& named =
+      is_again ? call->refused_by : call->tried;
   for (std::size_t i = 0; i < views.size(); ++i) {
-    views[i].is_tried = std::find(call->tried.begin(), call->tried.end(), i) !=
-                        call->tried.end();
+    const bool is_named =
+        std::find(named.begin(), named.end(), i) != named.end();
+    views[i].is_tried = is_named != is_again;
   }
   const control::PlaceDraws draws{this->world.Draw(), this->world.Draw(),
                                   this->world.Draw(), this->world.Draw()};
-  const std::optional<std::size_t> place =
-      control::ChoosePlace(views, this->world.clock.NowMillis(), draws);
+  const std::optional<std::size_t> place = control::ChoosePlace(
+      control::PlaceRules(), views, this->world.clock.NowMillis(), draws);
   if (!place.has_value()) {
     this->Finish(
         call, CallResult{false, call->may_have_run ? ErrorKind::kTargetTimeout
@@ -236,6 +244,7 @@
     }
     --beside.running;
     if (call->work->was_refused) {
+      control::NoteTurnedAway(this->RouteOf(*call->spec.root), beside.meter);
       this->Reply(call, attempt, AttemptEnd::kRefusedByTarget);
       return;
     }
@@ -277,7 +286,8 @@
       this->nodes[call->spec.entry]->views[info.service][call->place];
   const bool is_fault =
       end == AttemptEnd::kLost || end == AttemptEnd::kRefusedByTarget;
-  control::NoteHealth(this->world.clock.NowMillis(), is_fault, view.health);
+  control::NoteHealth(control::HealthRules(), this->world.clock.NowMillis(),
+                      is_fault, 0, view.health);
   if (end == AttemptEnd::kWhole) {
     this->Finish(call, CallResult{true});
     return;
@@ -288,6 +298,9 @@
   }
   ++call->attempts;
   const bool has_run = end != AttemptEnd::kRefusedByTarget;
+  if (!has_run) {
+    call->refused_by.push_back(call->place);
+  }
   call->may_have_run = call->may_have_run || has_run;
   if ((!has_run || info.spec->is_repeatable) && this->MayRepeat(call)) {
     this->Attempt(call);
@@ -300,7 +313,9 @@
 
 bool RelayPath::MayRepeat(const OutCallPointer& call) {
   const OperationInfo& info = this->world.operations[call->spec.operation];
-  if (call->attempts >= kAttempts ||
+  const bool has_place =
+      call->tried.size() < kAttempts || !call->refused_by.empty();
+  if (call->attempts >= kSends || !has_place ||
       call->deadline_ms - this->world.clock.Now() < kLeastLeftMs) {
     return false;
   }
@@ -308,7 +323,9 @@
   rules.used_part /= static_cast<double>(info.chain_size);
   const RootRequest& root = *call->spec.root;
   const double place = control::RepeatPlace(
-      static_cast<std::uint32_t>(root.criticality), root.hash);
+      static_cast<std::uint32_t>(root.criticality),
+      info.chain_size > 1 ? static_cast<double>(info.chain_size) : 1,
+      root.hash);
   return control::TakeRepeat(rules, place, this->world.clock.NowMillis(),
                              this->allowances[info.service]);
 }
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -54,6 +54,9 @@
   /// The node does not answer on an open link.
   void OnSuspect(const PeerPointer& peer);
 
+  /// What another node was told by an earlier start of this one.
+  void TakeMemory(const std::vector<ServiceRepeats>& told);
+
   /// Time-outs; call every few tens of milliseconds.
   void Sweep(Millis now);
   /// Works the admission out anew; call every 100 ms.
@@ -67,8 +70,20 @@
   const control::ChainAdmission& Admission() const { return this->admission; }
   /// Name of a route of the policy in force; its number if it is no longer in.
   std::string RouteName(std::uint32_t key) const;
-  /// Repeats that this node may still make now, by service.
-  std::map<std::string, double> RepeatsLeft(Millis now);
+  /// Counts of the services whose requests were sent once more lately.
+  std::vector<ServiceRepeats> OwnRepeats(Millis now);
+  /// What this node may repeat within the window, and has, by service.
+  std::map<std::string, control::RepeatRoom> RepeatRooms(Millis now);
+  /// Repeats that were asked for and not given, by service.
+  const std::map<std::string, std::uint64_t>& RepeatsDenied() const {
+    return this->repeats_denied;
+  }
+  /// Root requests refused at entry, by the service that had no room.
+  const std::map<std::string, std::uint64_t>& RefusedFor() const {
+    return this->refused_for;
+  }
+  /// Whether a route's share is bound by that service.
+  bool IsShort(const std::string& service) const;
 
  private:
   struct Call;
@@ -78,7 +93,15 @@
   bool AdmitRoot(const CallPointer& call);
   void Attempt(const CallPointer& call);
   static bool IsOpen(const Peer& peer);
-  PeerPointer ChoosePeer(const Call& call);
+  PeerPointer ChoosePeer(const Call& call, bool is_among_refused);
+  PeerPointer NextPeer(const Call& call);
+  double FailingOfOthers(const Call& call, const PeerPointer& peer);
+  bool MayMakeGood(const Call& call, const PeerPointer& peer);
+  double CallsPerRun(const std::string& service);
+  bool NoteOutcome(const Call& call,
+                   const PeerPointer& peer,
+                   const AnswerFrame& frame);
+  control::RepeatCounts SharedCounts(Millis now, const std::string& service);
   /// Whether the call is kept until its service has a target again.
   bool WaitsForTarget(const CallPointer& call);
   void RetryWaiting();
@@ -99,6 +122,7 @@
   void Abandon(const CallPointer& call);
   void TimeOut(const CallPointer& call);
   control::RepeatRules Repeats() const;
+  control::RepeatAllowance& AllowanceOf(const std::string& service);
   void LogShares();
   /// Id of the request that the call was made for; empty for a root.
   std::string ParentOf(const Call& call) const;
@@ -111,6 +135,11 @@
   policy::RouteTablePointer table;
   control::ChainAdmission admission;
   std::unordered_map<std::string, control::RepeatAllowance> allowances;
+  /// What peers remember of an earlier start, by service, until it is used.
+  std::map<std::uint32_t, control::RepeatCounts> remembered;
+  bool has_memory = false;
+  std::map<std::string, std::uint64_t> repeats_denied;
+  std::map<std::string, std::uint64_t> refused_for;
   /// Running sums of the weighted choice, by route.
   std::unordered_map<std::uint32_t, std::vector<double>> part_sums;
   std::unordered_map<std::uint32_t, CallPointer> calls;
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -9,6 +9,7 @@
 
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/demand_meter.h"
+#include "almondlink/control/repeat_allowance.h"
 
 /// Messages on a link between two nodes.
 ///
@@ -61,6 +62,16 @@
   std::uint64_t incarnation = 0;
 };
 
+/// What a node counted of a service's requests and repeats.
+struct ServiceRepeats {
+  /// See ServiceKeyOf.
+  std::uint32_t service = 0;
+  control::RepeatCounts counts;
+};
+
+/// Number of a service's name, the same on all nodes.
+std::uint32_t ServiceKeyOf(std::string_view service);
+
 /// First frame of either side.
 struct HelloFrame {
   NodeAddress self;
@@ -75,6 +86,10 @@
   /// Number of the latest start of the receiver that the sender has met; 0 if
   /// none. A node whose clock went back between two starts takes a later one.
   std::uint64_t known_incarnation = 0;
+  /// Number of the start before that, and what it told of repeats last; 0 if
+  /// the sender has not met it.
+  std::uint64_t former_incarnation = 0;
+  std::vector<ServiceRepeats> former_repeats;
 };
 
 /// The dialect that knows load frames, and the one spoken here.
@@ -100,6 +115,8 @@
   std::vector<control::RootRate> roots;
   /// Start time of the instance; 0 if not told.
   std::uint64_t born = 0;
+  /// Of services whose requests were sent once more within the window.
+  std::vector<ServiceRepeats> repeats;
 };
 
 /// Which report of which start of an instance a state was made after.
@@ -118,6 +135,7 @@
   double calls_per_run = 0;
   std::vector<control::RouteDemand> demand;
   std::vector<control::RootRate> roots;
+  std::vector<ServiceRepeats> repeats;
 };
 
 /// The load that a state tells, and a state with another load.
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -35,6 +35,9 @@
 /// One node, this one included.
 struct Peer {
   NodeAddress node;
+  /// The start before, and what it told of repeats last; 0 if none was met.
+  std::uint64_t former_incarnation = 0;
+  std::vector<ServiceRepeats> former_repeats;
   bool is_self = false;
   /// The link this node dialled; null while there is none.
   PeerLinkPointer link;
@@ -84,6 +87,8 @@
   std::function<void(const InstanceRecord&)> on_remembered;
   /// A peer confirmed the state made after that report.
   std::function<void(const ReportNumber&)> on_seen;
+  /// A peer has met a start of this node before; what that told of repeats.
+  std::function<void(const std::vector<ServiceRepeats>&)> on_memory;
   /// This start of the node has another number from now on.
   std::function<void(std::uint64_t incarnation)> on_incarnation;
   /// The state to tell now.
@@ -158,6 +163,7 @@
   void OnState(const PeerPointer& peer, std::string_view payload);
   void OnLoad(const PeerPointer& peer, std::string_view payload);
   void RememberLeaving(const PeerPointer& peer);
+  static void NoteStart(std::uint64_t incarnation, Peer& peer);
   void TellState(AcceptedLink& entry);
   std::vector<NodeAddress> SomeOthers(const std::string& to);
   void LoseLink(const PeerPointer& peer);
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -105,7 +105,7 @@
 
   PeerEvents PeerHooks();
   ServedEvents ServedHooks();
-  StateFrame MakeState() const;
+  StateFrame MakeState();
   void OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
   void OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnState(const PeerPointer& peer);
@@ -115,6 +115,7 @@
   void ScheduleTick();
   void Tick();
   void ContinueStop(Millis now);
+  void NoteSlotTime();
 
   boost::asio::io_context& loop;
   RelaySettings settings;
@@ -132,6 +133,10 @@
   /// were held up.
   std::map<LinkId, std::int64_t> clock_offsets;
   std::uint32_t ticks = 0;
+  /// Slot time that there was, and that was used, while requests were refused
+  /// for want of the target beside this node.
+  double short_there_s = 0;
+  double short_used_s = 0;
   Millis stop_started;
   bool is_stopping = false;
   bool is_leaving_told = false;
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -9,11 +9,36 @@
 
 #include "almondlink/base/clock.h"
 #include "almondlink/base/ids.h"
+#include "almondlink/control/chain_admission.h"
+#include "almondlink/control/placement.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/target_health.h"
 #include "almondlink/relay/header_names.h"
 
 namespace almondlink::relay {
 
+/// How a relay decides; docs/SETTINGS.md, [decisions].
+struct DecisionRules {
+  control::ChainRules admission;
+  control::PlaceRules placement;
+  control::HealthRules health;
+  /// Part of a target's slots that is used.
+  double usable_slots = 0.94;
+  /// Most sends of one request that reach a target.
+  std::uint32_t repeat_sends = 12;
+  /// Calls are taken back from nodes that do not answer.
+  bool has_suspects = true;
+  /// Since a service last had a target, so long until the next is expected.
+  Millis wait_for_target{3000};
+  /// Middle of the advice when to return, as a part of the latency target.
+  double return_part = 0.25;
+  /// The own zone's target is used while a request takes no more than this part
+  /// of its latency target there.
+  double zone_patience = 0.25;
+  /// Time that a call was held up on a link is taken from its deadline.
+  bool has_held_frames = true;
+};
+
 /// Everything that a relay is started with.
 struct RelaySettings {
   NodeId node;
@@ -34,6 +59,7 @@
   Millis grace{6000};
   /// Bound on requests that are sent to a second target.
   control::RepeatRules repeats;
+  DecisionRules decisions;
   /// Id of the request that a request's id names as the one it was made for;
   /// empty if it is a root request.
   std::function<std::string_view(std::string_view id)> parent_of;
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -76,6 +76,9 @@
 
   void SetTargetAddress(const boost::asio::ip::tcp::endpoint& address);
 
+  /// Part of the target's slots that is used.
+  void SetUsablePart(double part) { this->ledger.usable_part = part; }
+
   /// Takes a call; exactly one answer follows unless it is cancelled. `held`:
   /// time that the frame was held up on its way.
   void OnCall(LinkId link, const CallFrame& frame, Millis held);
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -10,14 +10,13 @@
 
 namespace {
 
+constexpr std::uint32_t kMisdirected = 421;
 constexpr std::uint32_t kServerError = 500;
 /// Sends that were turned back before the target, for one request.
 constexpr std::uint32_t kMostMoves = 4;
 /// A root request may wait this part of its latency target for a slot: longer
 /// would use up the time that its calls need.
 constexpr std::int64_t kRootWaitPart = 2;
-/// Time left below which a request is not sent once more.
-constexpr Millis kLeastForRepeat{30};
 
 }  // namespace
 
@@ -37,7 +36,19 @@
          peer.told.state == InstanceState::kReady;
 }
 
-PeerPointer EntryCalls::ChoosePeer(const Call& call) {
+/// Where the call may go next: to a target that did not get it, while its route
+/// allows another, or to one that refused it without running.
+PeerPointer EntryCalls::NextPeer(const Call& call) {
+  if (call.reached.size() < call.route->attempts) {
+    PeerPointer other = this->ChoosePeer(call, false);
+    if (other != nullptr) {
+      return other;
+    }
+  }
+  return call.refused_by.empty() ? nullptr : this->ChoosePeer(call, true);
+}
+
+PeerPointer EntryCalls::ChoosePeer(const Call& call, bool is_among_refused) {
   const std::vector<PeerPointer>& members = this->peers.Of(call.service);
   std::vector<control::PlaceView> views;
   views.reserve(members.size());
@@ -45,8 +56,11 @@
     control::PlaceView view;
     view.is_own_zone = peer->told.zone == this->settings.zone.Value();
     view.is_open = IsOpen(*peer);
-    view.is_tried = std::find(call.tried.begin(), call.tried.end(),
-                              peer->node.name) != call.tried.end();
+    const std::vector<std::string>& names =
+        is_among_refused ? call.refused_by : call.tried;
+    const bool is_named =
+        std::find(names.begin(), names.end(), peer->node.name) != names.end();
+    view.is_tried = is_named != is_among_refused;
     view.slots = std::max(1U, peer->told.slots);
     view.told_load = peer->told.running + peer->told.waiting;
     view.sent_since = peer->sent_since;
@@ -57,20 +71,24 @@
   const control::PlaceDraws draws{this->Draw(), this->Draw(), this->Draw(),
                                   this->Draw()};
   const Millis now = BootTimeNow();
-  std::optional<std::size_t> place = control::ChoosePlace(views, now, draws);
+  control::PlaceRules rules = this->settings.decisions.placement;
+  rules.patience_ms = this->settings.decisions.zone_patience *
+                      static_cast<double>(call.route->latency_target.count);
+  std::optional<std::size_t> place =
+      control::ChoosePlace(rules, views, now, draws);
   if (!place.has_value()) {
     // A target that leaves still serves for a while; better than nobody.
     for (std::size_t i = 0; i < members.size(); ++i) {
       views[i].is_open = members[i]->IsReachable() &&
                          members[i]->told.state == InstanceState::kDraining;
     }
-    place = control::ChoosePlace(views, now, draws);
+    place = control::ChoosePlace(rules, views, now, draws);
   }
   return place.has_value() ? members[*place] : nullptr;
 }
 
 void EntryCalls::Attempt(const CallPointer& call) {
-  const PeerPointer peer = this->ChoosePeer(*call);
+  const PeerPointer peer = this->NextPeer(*call);
   if (peer == nullptr) {
     if (!this->WaitsForTarget(call)) {
       this->FinishFailed(call, CallReason::kNoInstance);
@@ -90,7 +108,8 @@
     const Millis last =
         known == this->last_open.end() ? this->started : known->second;
     call->waits_until =
-        now + control::WaitForTarget(now - last, call->is_root,
+        now + control::WaitForTarget(this->settings.decisions.wait_for_target,
+                                     now - last, call->is_root,
                                      call->route->latency_target,
                                      call->deadline - now);
   }
@@ -161,11 +180,15 @@
   frame.target = call->head.target;
   frame.fields = call->head.fields;
   frame.body = call->body;
-  control::RepeatAllowance& allowance = this->allowances[call->service];
-  if (call->attempts == 0) {
-    control::NoteRequest(this->Repeats(), now, allowance);
+  if (!call->is_counted) {
+    call->is_counted = true;
+    control::RepeatAllowance& allowance = this->AllowanceOf(call->service);
     if (call->info.is_repeat) {
+      // Made by a run that was itself a repeat: it counts as one, and not as a
+      // request of its own.
       control::NoteRepeat(this->Repeats(), now, allowance);
+    } else {
+      control::NoteRequest(this->Repeats(), now, allowance);
     }
   }
   if (peer->is_self) {
@@ -176,22 +199,6 @@
   peer->link->FlushSoon();
 }
 
-control::RepeatRules EntryCalls::Repeats() const {
-  control::RepeatRules rules = this->settings.repeats;
-  rules.nodes = std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(this->peers.All().size()));
-  return rules;
-}
-
-std::map<std::string, double> EntryCalls::RepeatsLeft(Millis now) {
-  const control::RepeatRules rules = this->Repeats();
-  std::map<std::string, double> left;
-  for (auto& [service, allowance] : this->allowances) {
-    left[service] = control::RepeatsLeft(rules, now, allowance);
-  }
-  return left;
-}
-
 void EntryCalls::OnAnswer(const PeerPointer& peer, const AnswerFrame& frame) {
   peer->told.running = frame.running;
   peer->told.waiting = frame.waiting;
@@ -201,23 +208,31 @@
     return;
   }
   const CallPointer call = found->second;
-  const bool is_failure = frame.outcome == CallOutcome::kBroken ||
-                          frame.reason == CallReason::kConnectFailed ||
-                          frame.outcome == CallOutcome::kRefusedByTarget;
-  if (control::NoteHealth(BootTimeNow(), is_failure, peer->health)) {
+  if (this->NoteOutcome(*call, peer, frame)) {
     LogEvent(kEventTargetSetAside,
              {{"target", peer->told.instance}, {"node", peer->node.name}});
   }
+  if (frame.outcome != CallOutcome::kNotSent) {
+    call->reached.push_back(peer->node.name);
+  }
+  const bool is_refused = frame.outcome == CallOutcome::kRefusedByTarget &&
+                          frame.status != kMisdirected;
+  if (is_refused) {
+    call->refused_by.push_back(peer->node.name);
+  }
   if (frame.outcome != CallOutcome::kAnswered) {
     this->OnFailedAttempt(call, frame.outcome, frame.reason);
     return;
   }
-  const bool may_repeat = frame.status >= kServerError && !frame.has_more &&
-                          call->route->is_repeatable;
+  const bool is_error = frame.status >= kServerError;
+  control::NoteError(is_error, peer->health);
+  const bool may_repeat = is_error && !frame.has_more &&
+                          call->route->is_repeatable &&
+                          this->MayMakeGood(*call, peer);
   if (may_repeat) {
     ++call->attempts;
     call->may_have_run = true;
-    const PeerPointer next = this->ChoosePeer(*call);
+    const PeerPointer next = this->NextPeer(*call);
     if (next != nullptr &&
         this->MayRepeat(BootTimeNow(), *call, CallReason::kNone)) {
       if (WouldLog(kEventSentAgain)) {
@@ -237,35 +252,29 @@
   this->PassAnswer(call, frame);
 }
 
-bool EntryCalls::MayRepeat(Millis now, const Call& call, CallReason after) {
-  if (call.attempts >= call.route->attempts ||
-      call.deadline - now < kLeastForRepeat) {
-    return false;
-  }
-  const std::vector<PeerPointer>& members = this->peers.Of(call.service);
-  const bool has_other = std::any_of(
-      members.begin(), members.end(), [&call](const PeerPointer& peer) {
-        return IsOpen(*peer) && std::find(call.tried.begin(), call.tried.end(),
-                                          peer->node.name) == call.tried.end();
-      });
-  if (!has_other) {
-    return false;
-  }
-  // A run that makes calls repeats them too, so it takes so much less of the
-  // bound that the sum over all services of a chain stays within it.
-  control::RepeatRules rules = this->Repeats();
-  double calls_per_run = 0;
-  for (const PeerPointer& peer : members) {
-    calls_per_run = std::max(calls_per_run, peer->told.calls_per_run);
-  }
-  rules.used_part /= 1 + calls_per_run;
-  const double place =
-      control::RepeatPlace(call.info.priority, call.info.root_hash);
-  if (!control::TakeRepeat(rules, place, now, this->allowances[call.service])) {
-    return false;
+/// True if the target was set aside by it.
+bool EntryCalls::NoteOutcome(const Call& call,
+                             const PeerPointer& peer,
+                             const AnswerFrame& frame) {
+  const bool is_failure = frame.outcome == CallOutcome::kBroken ||
+                          frame.reason == CallReason::kConnectFailed ||
+                          frame.outcome == CallOutcome::kRefusedByTarget;
+  return control::NoteHealth(this->settings.decisions.health, BootTimeNow(),
+                             is_failure, this->FailingOfOthers(call, peer),
+                             peer->health);
+}
+
+/// How often the other targets of the call's service fail, on average.
+double EntryCalls::FailingOfOthers(const Call& call, const PeerPointer& peer) {
+  double sum = 0;
+  std::uint32_t others = 0;
+  for (const PeerPointer& other : this->peers.Of(call.service)) {
+    if (other != peer && IsOpen(*other)) {
+      sum += other->health.failing;
+      ++others;
+    }
   }
-  this->counts.NoteRepeat(*call.route, after);
-  return true;
+  return others == 0 ? 0 : sum / others;
 }
 
 void EntryCalls::OnFailedAttempt(const CallPointer& call,
@@ -289,6 +298,7 @@
     call->may_have_run = call->may_have_run || may_have_run;
     goes_on = (!may_have_run || call->route->is_repeatable) &&
               reason != CallReason::kTimeout &&
+              this->NextPeer(*call) != nullptr &&
               this->MayRepeat(now, *call, reason);
   }
   const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
@@ -349,10 +359,12 @@
   // The attempt that is out is given up only for one that can be made: where
   // the other targets leave or are set aside, it may still be answered.
   ++call->attempts;
-  const PeerPointer next = this->ChoosePeer(*call);
+  call->reached.push_back(call->peer->node.name);
+  const PeerPointer next = this->NextPeer(*call);
   if (next == nullptr ||
       !this->MayRepeat(BootTimeNow(), *call, CallReason::kTimeout)) {
     --call->attempts;
+    call->reached.pop_back();
     return;
   }
   call->may_have_run = true;
--- a/libs/relay/src/entry_call.h
+++ b/libs/relay/src/entry_call.h
@@ -19,8 +19,9 @@
 };
 
 /// One request of a caller from its arrival to its answer. EntryCalls is in
-/// three units: entry_calls.cc (what comes in and whether it is let in),
-/// entry_attempts.cc (where it is sent, and again), entry_ends.cc (its answer).
+/// four units: entry_calls.cc (what comes in and whether it is let in),
+/// entry_attempts.cc (where it is sent), entry_repeats.cc (whether once more),
+/// entry_ends.cc (its answer).
 struct EntryCalls::Call {
   std::uint32_t id = 0;
   RequestHead head;
@@ -39,6 +40,12 @@
   // The attempt that is out, if any.
   PeerPointer peer;
   std::vector<std::string> tried;
+  /// Nodes whose targets got it, and those of them that refused it without
+  /// running: these may be asked again.
+  std::vector<std::string> reached;
+  std::vector<std::string> refused_by;
+  /// Whether it was counted as a request for its service.
+  bool is_counted = false;
   /// Sends that a target got; sends that were turned back before it.
   std::uint32_t attempts = 0;
   std::uint32_t moves = 0;
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -17,8 +17,6 @@
 /// Advice when to come back if nothing is known of the route, and the shortest.
 constexpr Millis kShortestWait{300};
 constexpr Millis kShortestReturn{50};
-/// Middle of the advice, as a part of the route's latency target.
-constexpr double kReturnPart = 0.25;
 /// Change of a share that is worth a line in the log.
 constexpr double kLoggedStep = 0.1;
 
@@ -180,10 +178,22 @@
               {"version", std::to_string(call->table->version)},
               {"retry_after_ms", std::to_string(wait.count)}});
   }
+  const auto bound = this->admission.routes.find(call->info.root_route);
+  ++this->refused_for[bound == this->admission.routes.end()
+                          ? std::string()
+                          : bound->second.bound_by];
   this->RefuseNotRun(call, CallReason::kFull, wait);
   return false;
 }
 
+bool EntryCalls::IsShort(const std::string& service) const {
+  return std::any_of(
+      this->admission.routes.begin(), this->admission.routes.end(),
+      [&service](const auto& route) {
+        return route.second.share < 1 && route.second.bound_by == service;
+      });
+}
+
 /// When a refused caller should come back: early enough that an answer then is
 /// still worth its whole value, and spread, so that those refused together do
 /// not return together. Longer waits were measured (docs/RESULTS.md): callers
@@ -192,8 +202,8 @@
   if (call.route == nullptr) {
     return kShortestWait;
   }
-  const double middle =
-      kReturnPart * static_cast<double>(call.route->latency_target.count);
+  const double middle = this->settings.decisions.return_part *
+                        static_cast<double>(call.route->latency_target.count);
   const Millis spread{static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
   return std::max(kShortestReturn, spread);
 }
@@ -236,7 +246,7 @@
   for (auto& [service, room] : rooms) {
     services.push_back(std::move(room));
   }
-  control::UpdateShares(control::ChainRules(), services, roots,
+  control::UpdateShares(this->settings.decisions.admission, services, roots,
                         this->admission);
   this->LogShares();
 }
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -22,6 +22,25 @@
                 static_cast<double>(served.Connects()));
 }
 
+void WriteRepeats(const std::map<std::string, control::RepeatRoom>& rooms,
+                  const std::map<std::string, std::uint64_t>& denied,
+                  MetricText& out) {
+  out.Begin("repeats_left", "gauge", "Repeats that may still be made now.");
+  for (const auto& [service, room] : rooms) {
+    out.Add(MetricLabel("service", service), room.bound - room.repeats);
+  }
+  out.Begin("repeats_allowed", "gauge",
+            "Repeats that this node may make within the window.");
+  for (const auto& [service, room] : rooms) {
+    out.Add(MetricLabel("service", service), room.bound);
+  }
+  out.Begin("repeats_denied_total", "counter",
+            "Repeats asked for and not given: what failed was not made good.");
+  for (const auto& [service, count] : denied) {
+    out.Add(MetricLabel("service", service), static_cast<double>(count));
+  }
+}
+
 void WriteLog(MetricText& out) {
   const LogCounts lines = CountLogLines();
   out.Begin("log_lines_total", "counter", "Log lines.");
@@ -53,10 +72,16 @@
 void RelayNode::WriteMetrics(MetricText& out) {
   const Millis now = BootTimeNow();
   this->entry.Counts().Write(out);
-  out.Begin("repeats_left", "gauge", "Repeats that may still be made now.");
-  for (const auto& [service, left] : this->entry.RepeatsLeft(now)) {
-    out.Add(MetricLabel("service", service), left);
+  WriteRepeats(this->entry.RepeatRooms(now), this->entry.RepeatsDenied(), out);
+  out.Begin("refused_for_total", "counter",
+            "Root requests refused at entry, by the service without room.");
+  for (const auto& [service, count] : this->entry.RefusedFor()) {
+    out.Add(MetricLabel("service", service), static_cast<double>(count));
   }
+  out.Begin("short_slot_seconds_total", "counter",
+            "Slot time while requests were refused for want of this target.");
+  out.Add("part=\"there\"", this->short_there_s);
+  out.Add("part=\"used\"", this->short_used_s);
   out.Begin("admitted_share", "gauge", "Part of the root requests let in.");
   for (const auto& [key, share] : this->entry.Admission().routes) {
     out.Add(MetricLabel("route", this->entry.RouteName(key)), share.share);
--- a/libs/relay/src/peer_news.cc
+++ b/libs/relay/src/peer_news.cc
@@ -23,6 +23,15 @@
 
 }  // namespace
 
+/// Another start of the node speaks: what the one before told is kept for it.
+void PeerTable::NoteStart(std::uint64_t incarnation, Peer& peer) {
+  if (peer.node.incarnation != 0 && peer.node.incarnation != incarnation) {
+    peer.former_incarnation = peer.node.incarnation;
+    peer.former_repeats = peer.told.repeats;
+  }
+  peer.node.incarnation = incarnation;
+}
+
 /// Whom to name to `to`: a few, drawn anew each time. All of them from each to
 /// each would be the cube of the number of nodes at every start.
 std::vector<NodeAddress> PeerTable::SomeOthers(const std::string& to) {
@@ -53,7 +62,13 @@
       this->peers.begin(), this->peers.end(),
       [&to](const PeerPointer& peer) { return peer->node.name == to; });
   if (met != this->peers.end()) {
-    hello.known_incarnation = (*met)->node.incarnation;
+    const Peer& peer = **met;
+    hello.known_incarnation = peer.node.incarnation;
+    hello.former_incarnation = peer.former_incarnation;
+    // Its last word, if no later start of it has spoken yet.
+    hello.former_repeats = peer.former_incarnation != 0 ? peer.former_repeats
+                           : peer.is_greeted ? std::vector<ServiceRepeats>()
+                                             : peer.told.repeats;
   }
   Append(hello, link.Out());
   link.FlushSoon();
@@ -68,6 +83,13 @@
     this->SetIncarnation(hello.known_incarnation + 1);
     this->events.on_incarnation(this->self->node.incarnation);
   }
+  const bool has_memory =
+      hello.former_incarnation != 0 ||
+      (hello.known_incarnation != 0 &&
+       hello.known_incarnation != this->self->node.incarnation);
+  if (has_memory) {
+    this->events.on_memory(hello.former_repeats);
+  }
   this->Learn(hello.self);
   for (const NodeAddress& node : hello.others) {
     this->Learn(node);
@@ -129,7 +151,7 @@
           // The address belongs to another node now.
           peer->node = hello.self;
         }
-        peer->node.incarnation = hello.self.incarnation;
+        NoteStart(hello.self.incarnation, *peer);
         if (this->OnHello(hello)) {
           // It takes this start for an earlier one until it hears the number.
           this->SendHello(*peer->link, peer->node.name);
--- a/libs/relay/src/peer_state_frames.cc
+++ b/libs/relay/src/peer_state_frames.cc
@@ -1,11 +1,47 @@
 #include <utility>
 
+#include "almondlink/base/hash.h"
 #include "almondlink/relay/peer_frames.h"
 #include "frame_codec.h"
 
 /// Frames in which nodes tell who they are and how they are.
 namespace almondlink::relay {
 
+namespace {
+
+void PutRepeats(const std::vector<ServiceRepeats>& repeats, Writer& writer) {
+  writer.PutShort(repeats.size());
+  for (const ServiceRepeats& entry : repeats) {
+    writer.Put(entry.service);
+    writer.PutShort(entry.counts.now);
+    writer.PutShort(entry.counts.half_before);
+    writer.PutShort(entry.counts.before);
+    writer.PutShort(entry.counts.repeats);
+  }
+}
+
+/// An older node says nothing of them.
+void TakeRepeats(Reader& in, std::vector<ServiceRepeats>& repeats) {
+  repeats.clear();
+  if (in.IsAtEnd()) {
+    return;
+  }
+  repeats.resize(in.TakeShortCount());
+  for (ServiceRepeats& entry : repeats) {
+    in.Take(entry.service);
+    entry.counts.now = in.TakeShortNumber();
+    entry.counts.half_before = in.TakeShortNumber();
+    entry.counts.before = in.TakeShortNumber();
+    entry.counts.repeats = in.TakeShortNumber();
+  }
+}
+
+}  // namespace
+
+std::uint32_t ServiceKeyOf(std::string_view service) {
+  return static_cast<std::uint32_t>(StableHash(service));
+}
+
 void Append(const HelloFrame& frame, std::string& out) {
   Writer writer(FrameType::kHello, out);
   PutAddress(frame.self, writer);
@@ -27,6 +63,8 @@
   for (const InstanceRecord& record : frame.remembered) {
     writer.Put(record.born);
   }
+  writer.Put(frame.former_incarnation);
+  PutRepeats(frame.former_repeats, writer);
 }
 
 bool Decode(std::string_view payload, HelloFrame& frame) {
@@ -58,6 +96,11 @@
       in.Take(record.born);
     }
   }
+  frame.former_incarnation = 0;
+  if (!in.IsAtEnd()) {
+    in.Take(frame.former_incarnation);
+  }
+  TakeRepeats(in, frame.former_repeats);
   return in.IsGood();
 }
 
@@ -69,6 +112,7 @@
   load.calls_per_run = state.calls_per_run;
   load.demand = state.demand;
   load.roots = state.roots;
+  load.repeats = state.repeats;
   return load;
 }
 
@@ -79,6 +123,7 @@
   state.calls_per_run = load.calls_per_run;
   state.demand = std::move(load.demand);
   state.roots = std::move(load.roots);
+  state.repeats = std::move(load.repeats);
 }
 
 bool HaveSameFacts(const StateFrame& a, const StateFrame& b) {
@@ -106,6 +151,7 @@
     writer.PutShortFraction(entry.offered_per_s);
     writer.PutShortFraction(entry.let_in_per_s);
   }
+  PutRepeats(frame.repeats, writer);
 }
 
 bool Decode(std::string_view payload, LoadFrame& frame) {
@@ -126,6 +172,7 @@
     entry.offered_per_s = in.TakeShortFraction();
     entry.let_in_per_s = in.TakeShortFraction();
   }
+  TakeRepeats(in, frame.repeats);
   return in.IsGood();
 }
 
@@ -156,6 +203,7 @@
     writer.PutFraction(entry.let_in_per_s);
   }
   writer.Put(frame.born);
+  PutRepeats(frame.repeats, writer);
 }
 
 bool Decode(std::string_view payload, StateFrame& frame) {
@@ -189,6 +237,7 @@
   if (!in.IsAtEnd()) {
     in.Take(frame.born);
   }
+  TakeRepeats(in, frame.repeats);
   return in.IsGood();
 }
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -138,6 +138,7 @@
     return;
   }
   // Started anew: what is known of the one before no longer holds.
+  NoteStart(node.incarnation, *peer);
   peer->node = node;
   peer->next_dial = Millis{0};
   peer->dial_wait = Millis{0};
@@ -282,7 +283,8 @@
     peer->link->FlushSoon();
     return;
   }
-  if (step == control::SilenceStep::kSuspect && !peer->is_suspect) {
+  if (step == control::SilenceStep::kSuspect && !peer->is_suspect &&
+      this->settings.decisions.has_suspects) {
     peer->is_suspect = true;
     LogEvent(kEventLinkSilent,
              {{"peer", peer->node.name},
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -52,6 +52,7 @@
               }),
       tick_timer(loop_in) {
   this->served.SetTargetAddress(this->settings.target_address);
+  this->served.SetUsablePart(this->settings.decisions.usable_slots);
 }
 
 RelayNode::~RelayNode() = default;
@@ -93,6 +94,9 @@
   events.on_seen = [this](const ReportNumber& report) {
     this->RunAcks(BootTimeNow(), report);
   };
+  events.on_memory = [this](const std::vector<ServiceRepeats>& told) {
+    this->entry.TakeMemory(told);
+  };
   events.on_incarnation = [this](std::uint64_t incarnation) {
     LogEvent(kEventRenumbered, {{"incarnation", std::to_string(incarnation)}});
     this->hooks.on_incarnation(incarnation);
@@ -151,7 +155,7 @@
   return {};
 }
 
-StateFrame RelayNode::MakeState() const {
+StateFrame RelayNode::MakeState() {
   StateFrame state;
   const control::InstanceLedger& ledger = this->served.Ledger();
   state.policy_version = this->PolicyVersion();
@@ -179,6 +183,7 @@
   state.demand = control::DemandOf(this->served.Meter());
   state.calls_per_run = this->served.CallsPerRun();
   state.roots = control::OwnRates(this->entry.Admission());
+  state.repeats = this->entry.OwnRepeats(BootTimeNow());
   return state;
 }
 
@@ -305,7 +310,10 @@
       const auto [known, is_new] =
           this->clock_offsets.emplace(link->Id(), offset);
       known->second = std::min(known->second, offset);
-      this->served.OnCall(link->Id(), call, Millis{offset - known->second});
+      const Millis held{offset - known->second};
+      this->served.OnCall(
+          link->Id(), call,
+          this->settings.decisions.has_held_frames ? held : Millis{0});
       return;
     }
     case FrameType::kCancel: {
@@ -346,6 +354,8 @@
   this->settings.service = changed.service;
   this->settings.target_address = changed.target_address;
   this->settings.repeats = changed.repeats;
+  this->settings.decisions = changed.decisions;
+  this->served.SetUsablePart(changed.decisions.usable_slots);
   this->served.SetTargetAddress(changed.target_address);
 }
 
@@ -368,6 +378,7 @@
   if (this->ticks % kPeerTicks == 0) {
     this->peers.Tick(now);
     this->entry.UpdateAdmission(now);
+    this->NoteSlotTime();
     FlushLog();
   }
   if (this->ticks % kIdleTicks == 0) {
@@ -378,6 +389,15 @@
   }
 }
 
+void RelayNode::NoteSlotTime() {
+  constexpr double kSeconds = 0.001 * kTick.count() * kPeerTicks;
+  const control::InstanceLedger& ledger = this->served.Ledger();
+  if (this->entry.IsShort(ledger.current.service)) {
+    this->short_there_s += kSeconds * control::UsableSlots(ledger);
+    this->short_used_s += kSeconds * this->served.Running();
+  }
+}
+
 void RelayNode::Stop() {
   if (this->is_stopping) {
     return;
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -236,6 +236,7 @@
   answer.work_us = static_cast<std::uint32_t>(work.count * kMicrosPerMilli);
   if (has_not_run) {
     ++this->counters.refused_by_target;
+    control::NoteTurnedAway(call->info.root_route, this->meter);
   } else {
     ++this->counters.answered;
     this->Sample(*call, work);
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -101,8 +101,10 @@
   other.slots = 42;
   REQUIRE_FALSE(HaveSameFacts(state, other));
   const std::string_view payload = Only(bytes).payload;
+  // An older node's load ends before the list of repeats.
+  const std::size_t older = payload.size() - 1;
   for (std::size_t size = 0; size < payload.size(); ++size) {
-    REQUIRE_FALSE(Decode(payload.substr(0, size), read));
+    REQUIRE(Decode(payload.substr(0, size), read) == (size == older));
   }
 }
 
@@ -131,6 +133,10 @@
   REQUIRE(read.remembered[0].born == 77);
   // One that knows no start times, and one that knows no dialect.
   std::string_view older = Only(bytes).payload;
+  // The former start and its empty list come last.
+  older.remove_suffix(sizeof(hello.former_incarnation) + 1);
+  REQUIRE(Decode(older, read));
+  REQUIRE(read.known_incarnation == 99);
   older.remove_suffix(sizeof(hello.known_incarnation) + sizeof(std::uint64_t));
   REQUIRE(Decode(older, read));
   REQUIRE(read.dialect == kOwnDialect);
@@ -154,7 +160,7 @@
   read.born = 5;
   REQUIRE_FALSE(HaveSameFacts(state, read));
   std::string_view older = Only(bytes).payload;
-  older.remove_suffix(sizeof(state.born));
+  older.remove_suffix(sizeof(state.born) + 1);
   REQUIRE(Decode(older, read));
   REQUIRE(read.born == 0);
   bytes.clear();
@@ -202,7 +208,7 @@
   Append(state, bytes);
   std::string payload(Only(bytes).payload);
   // The count of the last list; the start of the instance follows it.
-  payload[payload.size() - sizeof(state.born) - 4] = '\x7f';
+  payload[payload.size() - sizeof(state.born) - 1 - 4] = '\x7f';
   StateFrame read;
   REQUIRE_FALSE(Decode(payload, read));
 }
--- a/libs/server/include/almondlink/server/caller_server.h
+++ b/libs/server/include/almondlink/server/caller_server.h
@@ -83,6 +83,10 @@
   /// Thread safe.
   bool IsDone() const;
 
+  /// Waits until IsDone(), `longest` at most: a caller that stalls is not waited
+  /// for. Not from a thread of the loops.
+  void WaitUntilDone(Millis longest) const;
+
   /// Thread safe.
   CallerServerStats Stats() const;
 
--- a/test/process/relay_reborn_test.cc
+++ b/test/process/relay_reborn_test.cc
@@ -43,6 +43,15 @@
   return false;
 }
 
+/// A report of the start 1000, whatever its values.
+std::string ReportOf(const std::string& service,
+                     const std::string& capacity,
+                     const std::string& state) {
+  return R"({"address":"127.0.0.1:1","zone":"z","version":"v","service":")" +
+         service + R"(","capacity":)" + capacity + R"(,"state":")" + state +
+         R"(","coldLeftMs":0,"sequence":9000,"born":1000})";
+}
+
 int Whole(RelayCluster& cluster, int node, int count, const char* name) {
   int whole = 0;
   for (int i = 0; i < count; ++i) {
@@ -137,17 +146,10 @@
   cluster.Configure(1, kRoutes);
   cluster.WaitReady();
   const std::vector<std::string> bodies = {
-      "",
-      "{}",
-      "\xff\xfe",
-      "[1]",
-      R"({"service":"stock","address":"127.0.0.1:1","zone":"z","version":"v",)"
-      R"("capacity":-1,"state":"ready","coldLeftMs":0,"sequence":9000})",
-      R"({"service":"stock","address":"127.0.0.1:1","zone":"z","version":"v",)"
-      R"("capacity":5,"state":"gone","coldLeftMs":0,"sequence":9000})",
-      R"({"service":"other","address":"127.0.0.1:1","zone":"z","version":"v",)"
-      R"("capacity":5,"state":"draining","coldLeftMs":0,"sequence":9000,)"
-      R"("born":1000})"};
+      "", "{}", "\xff\xfe", "[1]", ReportOf("stock", "-1", "ready"),
+      ReportOf("stock", "5", "gone"),
+      // Of the start that is known, but of another service.
+      ReportOf("other", "5", "draining")};
   for (const std::string& body : bodies) {
     REQUIRE(cluster.Instance(0).ReportBytes("heartbeat", body) == 400);
   }
--- a/test/process/start_test.cc
+++ b/test/process/start_test.cc
@@ -41,8 +41,9 @@
   std::string output;
   REQUIRE(StartWith(std::string(kSettings) + "[nodes]\nid = x\n", output) == 2);
   REQUIRE(
-      output.find("node.ini:14: [nodes] is not a section; allowed: node, "
-                  "target, mesh, log, bundle, metering, relay, logging\n") !=
+      output.find(
+          "node.ini:14: [nodes] is not a section; allowed: node, "
+          "target, mesh, log, bundle, metering, relay, decisions, logging\n") !=
       std::string::npos);
   REQUIRE(std::count(output.begin(), output.end(), '\n') == 1);
   output.clear();
