--- a/libs/server/include/almondlink/server/caller_server.h
+++ b/libs/server/include/almondlink/server/caller_server.h
@@ -83,8 +83,8 @@
   /// Thread safe.
   bool IsDone() const;
 
-  /// Waits until IsDone(), `longest` at most: a caller that stalls is not waited
-  /// for. Not from a thread of the loops.
+  /// Waits until IsDone(), `longest` at most: a caller that stalls is not
+  /// waited for. Not from a thread of the loops.
   void WaitUntilDone(Millis longest) const;
 
   /// Thread safe.
