Links that are lost count as instances that a request was sent to

Since sends to targets that refused may be repeated, the limit counts instances; the one that was out when a link was lost was not counted. Ruled out: sends to targets that refused (they do not run), calls taken back from suspect nodes (counted).

Test first: process test 'links that are lost count as instances that a request was sent to' (200 from a third instance before, 502 and two runs after).

--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -212,9 +212,6 @@
     LogEvent(kEventTargetSetAside,
              {{"target", peer->told.instance}, {"node", peer->node.name}});
   }
-  if (frame.outcome != CallOutcome::kNotSent) {
-    call->reached.push_back(peer->node.name);
-  }
   const bool is_refused = frame.outcome == CallOutcome::kRefusedByTarget &&
                           frame.status != kMisdirected;
   if (is_refused) {
@@ -231,6 +228,7 @@
                           this->MayMakeGood(*call, peer);
   if (may_repeat) {
     ++call->attempts;
+    call->reached.push_back(peer->node.name);
     call->may_have_run = true;
     const PeerPointer next = this->NextPeer(*call);
     if (next != nullptr &&
@@ -294,6 +292,9 @@
     }
   } else {
     ++call->attempts;
+    if (call->peer != nullptr) {
+      call->reached.push_back(call->peer->node.name);
+    }
     const bool may_have_run = outcome == CallOutcome::kBroken;
     call->may_have_run = call->may_have_run || may_have_run;
     goes_on = (!may_have_run || call->route->is_repeatable) &&
--- a/test/process/relay_faults_test.cc
+++ b/test/process/relay_faults_test.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <thread>
@@ -218,5 +219,45 @@
   }));
 }
 
+TEST_CASE("links that are lost count as instances that a request was sent to") {
+  // Found by a hunt on a day of suspended hosts: a request ran on three
+  // instances where its route allows two.
+  RelayCluster cluster(25920, "lost-links");
+  for (int i = 0; i < 3; ++i) {
+    cluster.Add(Spec("i-" + std::to_string(i), "stock"));
+    cluster.Instance(i).SetWork(1500);
+  }
+  const int front = cluster.Add(Spec("i-front", "front"), "zone-b");
+  cluster.Configure(1, {{"stock", "stock.example", "/stock/", "stock"}});
+  cluster.WaitReady();
+  std::atomic<unsigned> status{0};
+  std::thread caller([&]() {
+    status =
+        cluster.Call(front, "stock.example", "/stock/1", "r", "GET", "", 9000)
+            .status;
+  });
+  const auto runs = [&]() {
+    int sum = 0;
+    for (int i = 0; i < 3; ++i) {
+      sum += cluster.Instance(i).RunsOf("r");
+    }
+    return sum;
+  };
+  std::array<bool, 3> is_killed{};
+  for (int expected = 1; expected <= 2; ++expected) {
+    REQUIRE(Soon([&]() { return runs() == expected; }));
+    for (int i = 0; i < 3; ++i) {
+      if (!is_killed[static_cast<std::size_t>(i)] &&
+          cluster.Instance(i).RunsOf("r") == 1) {
+        is_killed[static_cast<std::size_t>(i)] = true;
+        cluster.Node(i).Kill();
+      }
+    }
+  }
+  caller.join();
+  REQUIRE(status == 502);
+  REQUIRE(runs() == 2);
+}
+
 }  // namespace
 }  // namespace almondlink::test
