--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -9,6 +9,9 @@
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/wire/messages.generated.h"
+#include "platform/instance_reports.h"
+#include "platform/operator_config.h"
+#include "platform/store_client.h"
 
 /// Fuzz target of everything that reads what peers, the log, callers or files
 /// send: the first byte picks the decoder. What decodes must encode and decode
@@ -125,15 +128,55 @@
   }
 }
 
+/// What other programs write on the users' platform: whatever it is, it is read
+/// or refused, and what is read is within its bounds.
+void ReadEntries(const std::string& text) {
+  namespace platform = almondlink::platform;
+  HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(report, platform::ParseHeartbeat("i-1", text));
+        if (report.capacity == 0 || report.service.empty()) {
+          __builtin_trap();
+        }
+        return true;
+      },
+      [](const Failure&) { return false; });
+  HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(platform::ParseLeave("i-1", text));
+        return true;
+      },
+      [](const Failure&) { return false; });
+  HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(table, platform::ParseConfig(text));
+        for (const almondlink::policy::Route& route : table->routes) {
+          if (route.timeout < almondlink::Millis{0}) {
+            __builtin_trap();
+          }
+        }
+        return true;
+      },
+      [](const Failure&) { return false; });
+  platform::NewestRead newest;
+  platform::DecodeNewest(text, newest);
+  platform::RecordsRead records;
+  platform::DecodeRecords(text, records);
+}
+
 }  // namespace
 
+/// The fuzz target keeps no log.
+void almondlink::platform::EntryRefusals::Note(const std::string& /*from*/,
+                                               const std::string& /*detail*/) {}
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   if (size == 0) {
     return 0;
   }
   const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 8) {
+  switch (data[0] % 9) {
     case 0:
       DecodeMessages(data + 1, size - 1);
       break;
@@ -160,6 +203,9 @@
     case 6:
       ParseHttp<almondlink::relay::AnswerParser>(text);
       break;
+    case 8:
+      ReadEntries(text);
+      break;
     default:
       almondlink::control::ParseMintedKey(text);
       almondlink::control::TimeOfUuid7(text);
