--- a/libs/control/include/almondlink/control/placement.h
+++ b/libs/control/include/almondlink/control/placement.h
@@ -45,7 +45,7 @@
   double zone_ms = 3;
   /// The own zone is used in any case while a request takes no longer there: an
   /// answer well within its latency target is worth no more for being faster.
-  /// It halves the bytes between zones.
+  /// It takes a third off the bytes between zones.
   double patience_ms = 0;
   /// By the expected time of a request; otherwise by the load alone.
   bool is_by_time = true;
