--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -99,6 +99,19 @@
 /// A target's answer was passed on; a sample when there are many. `load`,
 /// `slots` and `told_age_ms` are what the target was chosen by.
 constexpr Event kEventAnswered{607, Level::kInfo, "answered", Volume::kRoutine};
+/// A request was refused for its API key: 401 where no account of the policy
+/// holds it or there is none, 400 where the field is malformed, 503 where this
+/// node may be behind the policy or may no longer vouch for keys (`reason`).
+/// `key` is a fingerprint, never the key; `version` is the policy's,
+/// `version_age_ms` since when it is in force here.
+constexpr Event kEventUnknownKey{608, Level::kInfo, "unknown-key",
+                                 Volume::kFailure};
+/// A request was refused because its account is over its quota (429), or
+/// because nobody could tell in time whether it is (503, `reason`). `lender` is
+/// the node that counts for all, `limit_per_s` and `burst` the limit by
+/// `version`.
+constexpr Event kEventOverQuota{609, Level::kInfo, "over-quota",
+                                Volume::kFailure};
 /// A newer policy is in force here, from the store or a peer.
 constexpr Event kEventPolicyTaken{610, Level::kInfo, "policy-taken",
                                   Volume::kRare};
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -143,6 +143,20 @@
   Millis repeat_window;
   /// Repeats allowed in the window besides.
   double repeat_fixed;
+  /// Window in which the requests of a client account that run, over all nodes,
+  /// are held to its quota: (rate * window + burst) * (1 + quota_over) +
+  /// quota_slack.
+  Millis quota_window;
+  /// See quota_window.
+  double quota_over;
+  /// See quota_window.
+  double quota_slack;
+  /// A node that is out of touch with the source of the policy for longer than
+  /// revoke_after refuses requests that need an API key (503): it could not
+  /// know of a key that was taken away.
+  bool strict_revoke;
+  /// See strict_revoke.
+  Millis revoke_after;
 };
 
 /// Section [decisions]: How a relay decides. The defaults were measured
@@ -213,6 +227,9 @@
   std::int64_t followers;
   /// Nodes of all that look often for a new policy.
   std::int64_t lookouts;
+  /// What the priority of a client account does to its route's: first (the
+  /// route's decides among equals), replaces, or ignored.
+  std::string account_order;
 };
 
 /// Section [logging]: The node's own log.
--- a/libs/control/include/almondlink/control/instance_ledger.h
+++ b/libs/control/include/almondlink/control/instance_ledger.h
@@ -66,6 +66,8 @@
 struct InstanceLedger {
   InstancePhase phase = InstancePhase::kNone;
   InstanceReport current;
+  /// Number of the first report of it that came here.
+  std::uint64_t first_sequence = 0;
   /// When the current instance was first known to leave.
   Millis leaving_since;
   Millis reported;
@@ -105,6 +107,10 @@
                           const InstanceStart& start,
                           InstanceLedger& ledger);
 
+/// Whether the current instance may have run requests before this node started:
+/// none has reported yet, or one that had reported to somebody before.
+bool MayBeOlderThanNode(const InstanceLedger& ledger);
+
 /// Slots of the current instance that may be in use: a little below what it
 /// announces, since its last ones slow all others down.
 std::uint32_t UsableSlots(const InstanceLedger& ledger);
--- a/libs/control/include/almondlink/control/rate_limit.h
+++ b/libs/control/include/almondlink/control/rate_limit.h
@@ -7,15 +7,20 @@
 
 namespace almondlink::control {
 
-/// Limit on how much is taken from one source: so many per second, with bursts
-/// of up to one second's worth. Plain data; one thread at a time.
+/// Token bucket: limit on how much is taken from one source. Plain data; one
+/// thread at a time.
 struct RateLimit {
   double tokens = 0;
   Millis filled;
   bool is_started = false;
 };
 
-/// Takes one; false if the source has sent too much.
+/// Fills the bucket up to `now`, to at most `most` tokens. One that was never
+/// filled starts full.
+void Refill(double per_second, double most, Millis now, RateLimit& limit);
+
+/// Takes one; false if the source has sent too much. Bursts of up to one
+/// second's worth are let through.
 bool TakeFromRate(double per_second, Millis now, RateLimit& limit);
 
 }  // namespace almondlink::control
--- a/libs/control/src/instance_ledger.cc
+++ b/libs/control/src/instance_ledger.cc
@@ -13,6 +13,10 @@
 /// that is late or lost does not end a living instance.
 constexpr Millis kDoubted{3000};
 
+/// The first reports of an instance whose node starts with it: one may be lost
+/// while the node's port is not open yet.
+constexpr std::uint64_t kFirstReports = 2;
+
 template <typename Entries>
 void Bound(Entries& entries) {
   while (entries.size() > kMostRemembered) {
@@ -43,6 +47,7 @@
     Bound(ledger.earlier);
   }
   ledger.current = report;
+  ledger.first_sequence = report.sequence;
   ledger.phase = InstancePhase::kReady;
   ledger.reported = now;
   ledger.doubted = SeeminglyEarlier();
@@ -157,6 +162,11 @@
   return TakeLeave(now, start, ledger);
 }
 
+bool MayBeOlderThanNode(const InstanceLedger& ledger) {
+  return ledger.phase == InstancePhase::kNone ||
+         ledger.first_sequence > kFirstReports;
+}
+
 std::uint32_t UsableSlots(const InstanceLedger& ledger) {
   if (ledger.phase == InstancePhase::kNone) {
     return 0;
--- /dev/null
+++ b/libs/control/src/root_priority.cc
@@ -0,0 +1,30 @@
+#include "almondlink/control/root_priority.h"
+
+#include <algorithm>
+
+namespace almondlink::control {
+
+namespace {
+
+/// Priorities of routes that are told apart below one of an account.
+constexpr std::uint32_t kRoutePriorities = 4;
+/// It travels in one byte.
+constexpr std::uint32_t kLast = 255;
+
+}  // namespace
+
+std::uint32_t RootPriority(AccountOrder order,
+                           std::uint32_t route_priority,
+                           std::optional<std::uint32_t> account_priority) {
+  if (!account_priority.has_value() || order == AccountOrder::kIgnored) {
+    return std::min(route_priority, kLast);
+  }
+  const std::uint32_t account = std::min(*account_priority, kLast);
+  if (order == AccountOrder::kReplaces) {
+    return account;
+  }
+  return std::min(kLast, account * kRoutePriorities +
+                             std::min(route_priority, kRoutePriorities - 1));
+}
+
+}  // namespace almondlink::control
--- a/libs/control/tests/instance_ledger_test.cc
+++ b/libs/control/tests/instance_ledger_test.cc
@@ -164,5 +164,23 @@
   REQUIRE(ledger.current.sequence == 5);
 }
 
+TEST_CASE("an instance that reported elsewhere before may be older") {
+  InstanceLedger ledger;
+  REQUIRE(MayBeOlderThanNode(ledger));
+  InstanceReport report;
+  report.start.id = "i-1";
+  report.service = "s";
+  report.sequence = 40;
+  TakeReport(Millis{1000}, report, ledger);
+  REQUIRE(MayBeOlderThanNode(ledger));
+  report.start.id = "i-2";
+  report.sequence = 1;
+  TakeReport(Millis{2000}, report, ledger);
+  REQUIRE_FALSE(MayBeOlderThanNode(ledger));
+  report.sequence = 9;
+  TakeReport(Millis{3000}, report, ledger);
+  REQUIRE_FALSE(MayBeOlderThanNode(ledger));
+}
+
 }  // namespace
 }  // namespace almondlink::control
--- a/libs/policy/include/almondlink/policy/route_table.h
+++ b/libs/policy/include/almondlink/policy/route_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 
 #include "almondlink/base/clock.h"
 #include "almondlink/base/ids.h"
+#include "almondlink/policy/account_table.h"
 
 /// The policy in force where requests are told apart by host and path: an
 /// immutable table that is built once for each version and read by everyone.
@@ -42,6 +44,8 @@
   /// Most instances that one attempt of a caller may be sent to.
   std::uint32_t attempts = 1;
   std::vector<RoutePart> parts;
+  /// Whether callers need no API key for it.
+  bool is_anonymous = false;
 };
 
 /// What a caller may send, and for how long its connection may be idle.
@@ -59,6 +63,10 @@
   /// doubles holds three times its content at its worst.
   std::deque<Route> routes;
   CallerLimits limits;
+  /// Callers need a key of one of these, unless the policy names no accounts at
+  /// all (`has_accounts` false).
+  AccountTable accounts;
+  bool has_accounts = false;
   /// Connections that one instance of a service accepts.
   std::unordered_map<std::string, std::uint32_t> connections;
   /// Routes of a host (lower case), those with the longest prefix first.
@@ -74,6 +82,11 @@
 /// Number of a route's name.
 RouteKey RouteKeyOf(std::string_view name);
 
+/// Number of the root requests of a route that share an urgency: those of
+/// accounts with `account_priority`, or of all others (none).
+RouteKey ClassKeyOf(RouteKey route,
+                    std::optional<std::uint32_t> account_priority);
+
 /// Fills the keys and `by_host` from `routes`.
 void IndexRoutes(RouteTable& table);
 
--- a/libs/policy/src/route_table.cc
+++ b/libs/policy/src/route_table.cc
@@ -28,6 +28,16 @@
   return RouteKey(static_cast<std::uint32_t>(StableHash(name)) | 1U);
 }
 
+RouteKey ClassKeyOf(RouteKey route,
+                    std::optional<std::uint32_t> account_priority) {
+  if (!account_priority.has_value()) {
+    return route;
+  }
+  const std::uint64_t both =
+      (static_cast<std::uint64_t>(*account_priority) << 32U) | route.Value();
+  return RouteKey(static_cast<std::uint32_t>(StableHash(both)) | 1U);
+}
+
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view target) const {
   const auto found = this->by_host.find(LowerHost(host));
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -2,8 +2,10 @@
 #define ALMONDLINK_RELAY_ENTRY_CALLS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -16,6 +18,7 @@
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_port.h"
 #include "almondlink/relay/peer_table.h"
+#include "almondlink/relay/quota_exchange.h"
 #include "almondlink/relay/relay_settings.h"
 #include "almondlink/relay/request_counts.h"
 
@@ -46,6 +49,9 @@
                  std::string body,
                  const CallerExchangePointer& exchange);
 
+  /// Loans of quotas between nodes.
+  QuotaExchange& Quotas() { return this->quotas; }
+
   /// Frames from the node beside a target.
   void OnAnswer(const PeerPointer& peer, const AnswerFrame& frame);
   void OnPart(const PeerPointer& peer, const DataFrame& frame);
@@ -66,7 +72,7 @@
   /// Ends all calls that are still open, because the process ends.
   void EndAll();
 
-  std::size_t Open() const { return this->calls.size(); }
+  std::size_t OpenCalls() const { return this->calls.size(); }
   const RequestCounts& Counts() const { return this->counts; }
   const control::ChainAdmission& Admission() const { return this->admission; }
   /// Name of a route of the policy in force; its number if it is no longer in.
@@ -91,6 +97,32 @@
   using CallPointer = std::shared_ptr<Call>;
 
   const policy::RoutePart* ChoosePart(const policy::Route& route);
+  bool TakeRoute(const CallPointer& call);
+  void TakeChain(const CallPointer& call);
+  /// Whether the request may be made by who makes it; answers it if not.
+  bool Identify(const CallPointer& call);
+  bool IdentifyByKey(const CallPointer& call);
+  void RefuseKey(const CallPointer& call,
+                 std::uint32_t status,
+                 const char* reason);
+  void NoteSource(Millis now);
+  bool MayBeBehind() const;
+  bool CanVouch(Millis now) const;
+  bool IsStillKnown(const Call& call) const;
+  static bool IsLimited(const Call& call);
+  /// Whether its account may make the request now; false: it was answered, or
+  /// waits.
+  bool TakeQuota(const CallPointer& call);
+  void RefuseOverQuota(const CallPointer& call);
+  void ServeQuotaWaiters(policy::AccountKey account);
+  void SweepQuotaWaiters();
+  void SetClass(const policy::Route& route,
+                std::optional<std::uint32_t> account_priority);
+  void NameClass(std::uint32_t key,
+                 const policy::Route& route,
+                 std::optional<std::uint32_t> account_priority);
+  void Open(const CallPointer& call);
+  void Admit(const CallPointer& call);
   bool AdmitRoot(const CallPointer& call);
   void Attempt(const CallPointer& call);
   static bool IsOpen(const Peer& peer);
@@ -136,6 +168,15 @@
   ServedCalls& served;
   policy::RouteTablePointer table;
   control::ChainAdmission admission;
+  QuotaExchange quotas;
+  /// Requests that wait for a token of their account, in order, by account.
+  std::map<policy::AccountKey, std::deque<std::weak_ptr<Call>>> quota_waiters;
+  /// When the source of the policy was known to be in reach last.
+  Millis vouched;
+  /// When the policy in force was taken.
+  Millis table_taken;
+  /// Names of the classes of requests that were seen, by their number.
+  std::unordered_map<std::uint32_t, std::string> class_names;
   std::unordered_map<std::string, control::RepeatAllowance> allowances;
   /// What peers remember of an earlier start, by service, until it is used.
   std::map<std::uint32_t, control::RepeatCounts> remembered;
--- a/libs/relay/include/almondlink/relay/header_names.h
+++ b/libs/relay/include/almondlink/relay/header_names.h
@@ -22,6 +22,9 @@
   std::string not_run;
   /// Id of the instance that answered, on some answers.
   std::string instance_id;
+  /// Name of the client account that a request belongs to; set by the relay
+  /// where the policy has accounts.
+  std::string account;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/include/almondlink/relay/http_parser.h
+++ b/libs/relay/include/almondlink/relay/http_parser.h
@@ -25,6 +25,12 @@
   std::optional<std::int64_t> time_left_ms;
   /// `Name: value` lines to pass on, each with its line end.
   std::string fields;
+  /// Value of the Authorization field, and how many there were.
+  std::string credentials;
+  std::uint32_t credential_count = 0;
+  /// That field and those that name an account, as lines like `fields`: passed
+  /// on only where the policy knows no accounts.
+  std::string identity_fields;
   bool expects_continue = false;
   bool is_keep_alive = true;
 };
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -9,6 +9,7 @@
 
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/demand_meter.h"
+#include "almondlink/control/quota_lending.h"
 #include "almondlink/control/repeat_allowance.h"
 
 /// Messages on a link between two nodes.
@@ -41,6 +42,9 @@
   kVersion = 13,
   /// Addresses of nodes that the sender has just learned of.
   kNodes = 14,
+  /// Asks the lender of an account's quota for tokens, and its answer.
+  kQuotaAsk = 15,
+  kQuotaLoan = 16,
 };
 
 /// What a target tells of its life; later values are never taken back for the
@@ -100,10 +104,12 @@
   std::vector<ServiceRepeats> former_repeats;
 };
 
-/// The dialect that knows load frames, and the one spoken here.
+/// The dialects that know load frames, questions for a policy and loans of
+/// quotas, and the one spoken here.
 constexpr std::uint32_t kSpeaksLoad = 1;
 constexpr std::uint32_t kAsksPolicy = 2;
-constexpr std::uint32_t kOwnDialect = kAsksPolicy;
+constexpr std::uint32_t kLendsQuota = 3;
+constexpr std::uint32_t kOwnDialect = kLendsQuota;
 
 /// State of a node and of the target beside it.
 struct StateFrame {
@@ -250,6 +256,22 @@
   std::uint32_t bytes = 0;
 };
 
+/// Asks for tokens of an account's quota.
+struct QuotaAskFrame {
+  /// See policy::AccountKeyOf.
+  std::uint32_t account = 0;
+  std::uint32_t wanted = 0;
+};
+
+/// What the lender of the quota answers.
+struct QuotaLoanFrame {
+  std::uint32_t account = 0;
+  /// False: the node asked does not take itself for the lender, or does not
+  /// know the account.
+  bool is_lender = false;
+  control::QuotaLoan loan;
+};
+
 /// One frame as it lies in a link's input.
 struct RawFrame {
   FrameType type = FrameType::kHello;
@@ -272,6 +294,8 @@
 void Append(const AnswerFrame& frame, std::string& out);
 void Append(const DataFrame& frame, std::string& out);
 void Append(const WindowFrame& frame, std::string& out);
+void Append(const QuotaAskFrame& frame, std::string& out);
+void Append(const QuotaLoanFrame& frame, std::string& out);
 void AppendPolicy(std::string_view policy, std::string& out);
 void AppendCancel(std::uint32_t id, std::string& out);
 void AppendPing(std::string& out);
@@ -289,6 +313,8 @@
 bool Decode(std::string_view payload, AnswerFrame& frame);
 bool Decode(std::string_view payload, DataFrame& frame);
 bool Decode(std::string_view payload, WindowFrame& frame);
+bool Decode(std::string_view payload, QuotaAskFrame& frame);
+bool Decode(std::string_view payload, QuotaLoanFrame& frame);
 bool DecodeCancel(std::string_view payload, std::uint32_t& id);
 bool DecodeSeen(std::string_view payload, ReportNumber& report);
 /// Of both frames that hold the number of a policy.
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -52,6 +52,8 @@
   std::uint32_t sent_since = 0;
   /// Calls of this node that are out there.
   std::uint32_t outstanding = 0;
+  /// When something was sent that it must answer at once, besides calls.
+  Millis answer_due;
   /// Nothing came on its link for too long while calls are out.
   bool is_suspect = false;
   /// When it was asked for a sign of life last, and first since its last word.
@@ -63,6 +65,8 @@
   Millis dial_wait;
   /// Since when no link could be had.
   Millis lost_at;
+  /// Its host answered that nobody listens there: it is gone, not cut off.
+  bool is_refused = false;
   /// When a node that does not ask for policies was sent one last.
   Millis policy_sent;
   /// The version that this node asked it for last; 0: none.
@@ -152,6 +156,18 @@
   /// policy.
   bool FollowsSource() const;
 
+  /// Whether this node, or one that it reaches, can read the source of the
+  /// policy.
+  bool IsInTouchWithSource() const;
+
+  /// How many nodes are reached, and how many there are that are not known to
+  /// be gone, this one counted in both.
+  struct Reach {
+    std::uint32_t reached = 0;
+    std::uint32_t known = 0;
+  };
+  Reach ReachOfNodes(Millis now) const;
+
   /// Buffer of an accepted link, or null if it is closed.
   PeerLinkPointer Accepted(LinkId link) const {
     const auto found = this->accepted.find(link);
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,7 +13,9 @@
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/placement.h"
 #include "almondlink/control/policy_source.h"
+#include "almondlink/control/quota_lending.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/root_priority.h"
 #include "almondlink/control/target_health.h"
 #include "almondlink/relay/header_names.h"
 
@@ -40,6 +43,7 @@
   bool has_held_frames = true;
   /// Who reads the source of the policy for all.
   control::FollowRules follow;
+  control::AccountOrder account_order = control::AccountOrder::kFirst;
 };
 
 /// Everything that a relay is started with.
@@ -62,6 +66,11 @@
   Millis grace{6000};
   /// Bound on requests that are sent to a second target.
   control::RepeatRules repeats;
+  /// Bound on what one client account may have run.
+  control::QuotaRules quotas;
+  /// A node that has not heard of the source of the policy for this long takes
+  /// no API key any more; none: it goes on by the policy it has.
+  std::optional<Millis> revoke_after;
   DecisionRules decisions;
   /// Id of the request that a request's id names as the one it was made for;
   /// empty if it is a root request.
--- a/libs/relay/include/almondlink/relay/request_counts.h
+++ b/libs/relay/include/almondlink/relay/request_counts.h
@@ -28,6 +28,10 @@
   kUnknown,
   kNoRoute,
   kCallerLeft,
+  /// No account holds the key, or there is none where one is needed.
+  kUnknownKey,
+  /// Beyond the quota of its account.
+  kOverQuota,
 };
 
 /// Name of an end in metrics.
@@ -43,6 +47,9 @@
                CallReason reason,
                LatencyMs took);
 
+  /// Counts the end of a root request of a client account.
+  void NoteAccount(const std::string& account, RequestEnd end);
+
   /// Counts a send to a second target, or to another after one turned it back
   /// unsent.
   void NoteRepeat(const policy::Route& route, CallReason after);
@@ -71,6 +78,7 @@
   RouteCounts& Of(const policy::Route* route);
 
   std::unordered_map<std::uint32_t, RouteCounts> routes;
+  std::map<std::string, std::map<RequestEnd, std::uint64_t>> accounts;
   LatencyHistogram added;
 };
 
--- /dev/null
+++ b/libs/relay/src/bearer_key.cc
@@ -0,0 +1,59 @@
+#include "almondlink/relay/bearer_key.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <string_view>
+
+namespace almondlink::relay {
+
+namespace {
+
+/// Longest key; the fields of a request are bounded anyway, and longer ones
+/// would only be hashed in vain.
+constexpr std::size_t kLongestKey = 4096;
+
+/// Visible ASCII: wider than the standard's token68, since operators choose the
+/// keys.
+bool IsKeyCharacter(char c) {
+  return c > ' ' && c <= '~';
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+BearerKey ReadBearerKey(const RequestHead& head) {
+  BearerKey result;
+  if (head.credential_count == 0) {
+    return result;
+  }
+  if (head.credential_count > 1) {
+    result.form = KeyForm::kMalformed;
+    return result;
+  }
+  const std::string_view value = Trimmed(head.credentials);
+  const std::string_view scheme = value.substr(0, value.find_first_of(" \t"));
+  const bool is_bearer = boost::beast::iequals(
+      boost::beast::string_view(scheme.data(), scheme.size()), "bearer");
+  if (!is_bearer) {
+    return result;
+  }
+  const std::string_view key = Trimmed(value.substr(scheme.size()));
+  const bool is_key = !key.empty() && key.size() <= kLongestKey &&
+                      std::all_of(key.begin(), key.end(), IsKeyCharacter);
+  if (!is_key) {
+    result.form = KeyForm::kMalformed;
+    return result;
+  }
+  result.form = KeyForm::kKey;
+  result.key.assign(key);
+  return result;
+}
+
+}  // namespace almondlink::relay
--- /dev/null
+++ b/libs/relay/src/entry_admission.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "almondlink/base/event_log.h"
+#include "almondlink/relay/entry_calls.h"
+#include "entry_call.h"
+
+/// Whether there is room for a root request; almondlink/control/
+/// chain_admission.h works the shares out.
+namespace almondlink::relay {
+
+namespace {
+
+/// Advice when to come back if nothing is known of the route, and the shortest.
+constexpr Millis kShortestWait{300};
+constexpr Millis kShortestReturn{50};
+/// Change of a share that is worth a line in the log.
+constexpr double kLoggedStep = 0.1;
+
+}  // namespace
+
+bool EntryCalls::AdmitRoot(const CallPointer& call) {
+  this->NameClass(
+      call->info.root_route, *call->route,
+      call->account == nullptr ? std::nullopt : call->account->priority);
+  if (control::LetIn(call->info.root_route, call->info.priority, this->Draw(),
+                     this->admission)) {
+    return true;
+  }
+  const Millis wait = this->RetryAfter(*call);
+  if (WouldLog(kEventRefusedAtEntry)) {
+    const double share =
+        control::ShareOf(call->info.root_route, this->admission);
+    LogEvent(kEventRefusedAtEntry,
+             {{"request", call->head.id},
+              {"parent", this->ParentOf(*call)},
+              {"route", call->route->name},
+              {"share", std::to_string(share)},
+              {"share_age_ms",
+               std::to_string((call->arrived - this->admission.updated).count)},
+              {"version", std::to_string(call->table->version)},
+              {"retry_after_ms", std::to_string(wait.count)}});
+  }
+  const auto bound = this->admission.routes.find(call->info.root_route);
+  ++this->refused_for[bound == this->admission.routes.end()
+                          ? std::string()
+                          : bound->second.bound_by];
+  call->is_refused_at_entry = true;
+  if (call->id != 0) {
+    this->Finish(call);
+  }
+  this->RefuseNotRun(call, CallReason::kFull, wait);
+  return false;
+}
+
+bool EntryCalls::IsShort(const std::string& service) const {
+  return std::any_of(
+      this->admission.routes.begin(), this->admission.routes.end(),
+      [&service](const auto& route) {
+        return route.second.share < 1 && route.second.bound_by == service;
+      });
+}
+
+/// When a refused caller should come back: early enough that an answer then is
+/// still worth its whole value, and spread, so that those refused together do
+/// not return together. Longer waits were measured (docs/RESULTS.md): callers
+/// come back in any case, and what they get is late.
+Millis EntryCalls::RetryAfter(const Call& call) {
+  if (call.route == nullptr) {
+    return kShortestWait;
+  }
+  const double middle = this->settings.decisions.return_part *
+                        static_cast<double>(call.route->latency_target.count);
+  const Millis spread{static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
+  return std::max(kShortestReturn, spread);
+}
+
+void EntryCalls::UpdateAdmission(Millis now) {
+  this->NoteSource(now);
+  control::UpdateRootRates(now, this->admission);
+  std::map<std::string, control::ServiceRoom> rooms;
+  std::map<std::uint32_t, control::RootSum> roots;
+  for (const PeerPointer& peer : this->peers.All()) {
+    if (!peer->IsReachable()) {
+      continue;
+    }
+    const StateFrame& told = peer->told;
+    const std::vector<control::RootRate> rates =
+        peer->is_self ? control::OwnRates(this->admission) : told.roots;
+    for (const control::RootRate& rate : rates) {
+      control::AddRate(rate, roots);
+    }
+    if (told.instance.empty()) {
+      continue;
+    }
+    control::TargetRoom target;
+    const bool is_open =
+        told.state == InstanceState::kReady && !told.is_stopping;
+    target.slots = is_open ? told.slots : 0;
+    if (is_open) {
+      this->last_open[told.service] = now;
+    }
+    target.waiting = told.waiting;
+    target.work_ms = told.work_ms;
+    target.demand = told.demand;
+    control::ServiceRoom& room = rooms[told.service];
+    room.service = told.service;
+    room.key = ServiceKeyOf(told.service);
+    room.targets.push_back(std::move(target));
+  }
+  std::vector<control::ServiceRoom> services;
+  services.reserve(rooms.size());
+  for (auto& [service, room] : rooms) {
+    services.push_back(std::move(room));
+  }
+  control::UpdateShares(this->settings.decisions.admission, services, roots,
+                        this->admission);
+  this->LogShares();
+}
+
+/// A line when a share has moved by a tenth since the last line.
+void EntryCalls::LogShares() {
+  for (const auto& [route, state] : this->admission.routes) {
+    const auto [logged, is_new] = this->logged_shares.emplace(route, 1.0);
+    if (std::abs(logged->second - state.share) >= kLoggedStep) {
+      logged->second = state.share;
+      LogEvent(kEventShareChanged,
+               {{"route", this->RouteName(route)},
+                {"share", std::to_string(state.share)},
+                {"bound_by", state.bound_by},
+                {"offered_per_s", std::to_string(state.offered.per_s)}});
+    }
+  }
+}
+
+}  // namespace almondlink::relay
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::uint32_t kUnauthorized = 401;
 constexpr std::uint32_t kMisdirected = 421;
 constexpr std::uint32_t kServerError = 500;
 /// Sends that were turned back before the target, for one request.
@@ -88,6 +89,11 @@
 }
 
 void EntryCalls::Attempt(const CallPointer& call) {
+  if (call->tried.empty() && !this->IsStillKnown(*call)) {
+    this->Finish(call);
+    this->RefuseKey(call, kUnauthorized, "revoked");
+    return;
+  }
   const PeerPointer peer = this->NextPeer(*call);
   if (peer == nullptr) {
     if (!this->WaitsForTarget(call)) {
--- a/libs/relay/src/entry_call.h
+++ b/libs/relay/src/entry_call.h
@@ -19,9 +19,10 @@
 };
 
 /// One request of a caller from its arrival to its answer. EntryCalls is in
-/// four units: entry_calls.cc (what comes in and whether it is let in),
-/// entry_attempts.cc (where it is sent), entry_repeats.cc (whether once more),
-/// entry_ends.cc (its answer).
+/// units by decision: entry_calls.cc (what comes in), entry_accounts.cc (who
+/// asks, and whether its account may), entry_admission.cc (whether there is
+/// room), entry_attempts.cc (where it is sent), entry_repeats.cc (whether once
+/// more), entry_ends.cc (its answer).
 struct EntryCalls::Call {
   std::uint32_t id = 0;
   RequestHead head;
@@ -29,8 +30,19 @@
   CallerExchangePointer exchange;
   policy::RouteTablePointer table;
   const policy::Route* route = nullptr;
+  /// Who asks; null where the policy has no accounts, for anonymous routes and
+  /// for calls that targets make.
+  const policy::ClientAccount* account = nullptr;
+  std::string api_key;
+  /// Until when it waits for a token of its account.
+  Millis quota_until;
+  /// A token was taken for it, which is given back if it does not run.
+  bool has_token = false;
   std::string service;
   bool is_root = true;
+  /// Whether a run of the target beside this node makes it.
+  bool is_of_run = false;
+  bool is_refused_at_entry = false;
   RunInfo info;
   Millis arrived;
   /// When the caller stops waiting, and when the route does.
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -1,7 +1,6 @@
 #include "almondlink/relay/entry_calls.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -14,11 +13,8 @@
 namespace {
 
 constexpr std::uint32_t kNotFound = 404;
-/// Advice when to come back if nothing is known of the route, and the shortest.
-constexpr Millis kShortestWait{300};
-constexpr Millis kShortestReturn{50};
-/// Change of a share that is worth a line in the log.
-constexpr double kLoggedStep = 0.1;
+/// Advice when to come back while there is no policy.
+constexpr Millis kNoPolicyWait{300};
 
 }  // namespace
 
@@ -28,6 +24,11 @@
     : settings(settings_in),
       peers(peers_in),
       served(served_in),
+      quotas(settings_in,
+             peers_in,
+             [this](policy::AccountKey account) {
+               this->ServeQuotaWaiters(account);
+             }),
       started(BootTimeNow()),
       random(std::random_device()()) {}
 
@@ -35,24 +36,49 @@
 
 void EntryCalls::SetTable(policy::RouteTablePointer table_in) {
   this->table = std::move(table_in);
+  this->table_taken = BootTimeNow();
+  this->NoteSource(this->table_taken);
   this->part_turns.clear();
+  this->quotas.SetTable(this->table);
+  this->class_names.clear();
   for (const policy::Route& route : this->table->routes) {
-    const auto known = this->admission.routes.find(route.key.Value());
-    if (known != this->admission.routes.end()) {
-      known->second.priority = route.priority;
+    this->SetClass(route, std::nullopt);
+    for (const std::uint32_t priority : this->table->accounts.Priorities()) {
+      this->SetClass(route, priority);
     }
   }
 }
 
-std::string EntryCalls::RouteName(std::uint32_t key) const {
-  if (this->table != nullptr) {
-    for (const policy::Route& route : this->table->routes) {
-      if (route.key.Value() == key) {
-        return route.name;
-      }
+/// The priority that requests of the route and of accounts of that priority
+/// have from now on, and their name.
+void EntryCalls::SetClass(const policy::Route& route,
+                          std::optional<std::uint32_t> account_priority) {
+  const std::uint32_t key =
+      policy::ClassKeyOf(route.key, account_priority).Value();
+  const auto known = this->admission.routes.find(key);
+  if (known == this->admission.routes.end()) {
+    return;
+  }
+  known->second.priority = control::RootPriority(
+      this->settings.decisions.account_order, route.priority, account_priority);
+  this->NameClass(key, route, account_priority);
+}
+
+void EntryCalls::NameClass(std::uint32_t key,
+                           const policy::Route& route,
+                           std::optional<std::uint32_t> account_priority) {
+  std::string& name = this->class_names[key];
+  if (name.empty()) {
+    name = route.name;
+    if (account_priority.has_value()) {
+      name += "/" + std::to_string(*account_priority);
     }
   }
-  return std::to_string(key);
+}
+
+std::string EntryCalls::RouteName(std::uint32_t key) const {
+  const auto named = this->class_names.find(key);
+  return named == this->class_names.end() ? std::to_string(key) : named->second;
 }
 
 std::string EntryCalls::ParentOf(const Call& call) const {
@@ -79,20 +105,8 @@
                                         this->part_turns[route.key.Value()])];
 }
 
-void EntryCalls::OnRequest(RequestHead head,
-                           std::string body,
-                           const CallerExchangePointer& exchange) {
-  const CallPointer call = std::make_shared<Call>();
-  call->head = std::move(head);
-  call->body = std::move(body);
-  call->exchange = exchange;
-  call->arrived = BootTimeNow();
-  call->started = PreciseNow();
-  call->table = this->table;
-  if (this->table == nullptr) {
-    this->RefuseNotRun(call, CallReason::kNone, kShortestWait);
-    return;
-  }
+/// The route that the request is for; answers it if there is none.
+bool EntryCalls::TakeRoute(const CallPointer& call) {
   call->route = this->table->Find(call->head.host, call->head.target);
   const policy::RoutePart* part =
       call->route == nullptr ? nullptr : this->ChoosePart(*call->route);
@@ -106,154 +120,87 @@
                 {"path", call->head.target},
                 {"version", std::to_string(this->table->version)}});
     }
-    exchange->Answer(kNotFound, "Not Found", "", "");
-    return;
+    call->exchange->Answer(kNotFound, "Not Found", "", "");
+    return false;
   }
   call->service = part->service.Value();
+  return true;
+}
+
+/// When it must be answered, and the chain of calls that it belongs to.
+void EntryCalls::TakeChain(const CallPointer& call) {
   const Millis waits =
       call->head.time_left_ms.has_value()
           ? std::min(Millis{*call->head.time_left_ms}, call->route->timeout)
           : call->route->timeout;
   call->deadline = call->arrived + waits;
   call->end = call->deadline;
+  const std::string_view parent = this->settings.parent_of(call->head.id);
+  call->is_root = parent.empty();
   call->info.root_route = call->route->key.Value();
   call->info.root_hash = StableHash(call->head.id);
   call->info.priority = static_cast<std::uint8_t>(
       std::min<std::uint32_t>(call->route->priority, 255));
-  const std::string_view parent = this->settings.parent_of(call->head.id);
-  if (!parent.empty()) {
-    call->is_root = false;
-    const std::optional<RunInfo> run =
-        this->served.FindRun(std::string(parent));
-    if (run.has_value()) {
-      this->served.NoteCallOfRun();
-      call->info = *run;
-      call->deadline = std::min(call->deadline, run->deadline);
-    }
-    call->info.depth =
-        static_cast<std::uint8_t>(std::min<int>(call->info.depth + 1, 255));
-  }
   if (call->is_root) {
-    if (!this->AdmitRoot(call)) {
-      return;
-    }
+    return;
+  }
+  const std::optional<RunInfo> run = this->served.FindRun(std::string(parent));
+  call->is_of_run = run.has_value();
+  if (run.has_value()) {
+    this->served.NoteCallOfRun();
+    call->info = *run;
+    call->deadline = std::min(call->deadline, run->deadline);
+  }
+  call->info.depth =
+      static_cast<std::uint8_t>(std::min<int>(call->info.depth + 1, 255));
+}
+
+/// From now on it ends when its time is over or its caller leaves.
+void EntryCalls::Open(const CallPointer& call) {
+  if (call->id != 0) {
+    return;
   }
   call->id = ++this->last_id;
   this->calls.emplace(call->id, call);
   this->ends.emplace(call->end.count, call->id);
   const std::weak_ptr<Call> weak = call;
-  exchange->on_gone = [this, weak]() {
+  call->exchange->on_gone = [this, weak]() {
     if (const CallPointer open = weak.lock()) {
       this->Abandon(open);
     }
   };
-  this->Attempt(call);
-}
-
-bool EntryCalls::AdmitRoot(const CallPointer& call) {
-  if (control::LetIn(call->info.root_route, call->route->priority, this->Draw(),
-                     this->admission)) {
-    return true;
-  }
-  const Millis wait = this->RetryAfter(*call);
-  if (WouldLog(kEventRefusedAtEntry)) {
-    const double share =
-        control::ShareOf(call->info.root_route, this->admission);
-    LogEvent(kEventRefusedAtEntry,
-             {{"request", call->head.id},
-              {"parent", this->ParentOf(*call)},
-              {"route", call->route->name},
-              {"share", std::to_string(share)},
-              {"share_age_ms",
-               std::to_string((call->arrived - this->admission.updated).count)},
-              {"version", std::to_string(call->table->version)},
-              {"retry_after_ms", std::to_string(wait.count)}});
-  }
-  const auto bound = this->admission.routes.find(call->info.root_route);
-  ++this->refused_for[bound == this->admission.routes.end()
-                          ? std::string()
-                          : bound->second.bound_by];
-  this->RefuseNotRun(call, CallReason::kFull, wait);
-  return false;
 }
 
-bool EntryCalls::IsShort(const std::string& service) const {
-  return std::any_of(
-      this->admission.routes.begin(), this->admission.routes.end(),
-      [&service](const auto& route) {
-        return route.second.share < 1 && route.second.bound_by == service;
-      });
-}
-
-/// When a refused caller should come back: early enough that an answer then is
-/// still worth its whole value, and spread, so that those refused together do
-/// not return together. Longer waits were measured (docs/RESULTS.md): callers
-/// come back in any case, and what they get is late.
-Millis EntryCalls::RetryAfter(const Call& call) {
-  if (call.route == nullptr) {
-    return kShortestWait;
+void EntryCalls::OnRequest(RequestHead head,
+                           std::string body,
+                           const CallerExchangePointer& exchange) {
+  const CallPointer call = std::make_shared<Call>();
+  call->head = std::move(head);
+  call->body = std::move(body);
+  call->exchange = exchange;
+  call->arrived = BootTimeNow();
+  call->started = PreciseNow();
+  call->table = this->table;
+  if (this->table == nullptr) {
+    this->RefuseNotRun(call, CallReason::kNone, kNoPolicyWait);
+    return;
   }
-  const double middle = this->settings.decisions.return_part *
-                        static_cast<double>(call.route->latency_target.count);
-  const Millis spread{static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
-  return std::max(kShortestReturn, spread);
-}
-
-void EntryCalls::UpdateAdmission(Millis now) {
-  control::UpdateRootRates(now, this->admission);
-  std::map<std::string, control::ServiceRoom> rooms;
-  std::map<std::uint32_t, control::RootSum> roots;
-  for (const PeerPointer& peer : this->peers.All()) {
-    if (!peer->IsReachable()) {
-      continue;
-    }
-    const StateFrame& told = peer->told;
-    const std::vector<control::RootRate> rates =
-        peer->is_self ? control::OwnRates(this->admission) : told.roots;
-    for (const control::RootRate& rate : rates) {
-      control::AddRate(rate, roots);
-    }
-    if (told.instance.empty()) {
-      continue;
-    }
-    control::TargetRoom target;
-    const bool is_open =
-        told.state == InstanceState::kReady && !told.is_stopping;
-    target.slots = is_open ? told.slots : 0;
-    if (is_open) {
-      this->last_open[told.service] = now;
-    }
-    target.waiting = told.waiting;
-    target.work_ms = told.work_ms;
-    target.demand = told.demand;
-    control::ServiceRoom& room = rooms[told.service];
-    room.service = told.service;
-    room.key = ServiceKeyOf(told.service);
-    room.targets.push_back(std::move(target));
+  if (!this->TakeRoute(call)) {
+    return;
   }
-  std::vector<control::ServiceRoom> services;
-  services.reserve(rooms.size());
-  for (auto& [service, room] : rooms) {
-    services.push_back(std::move(room));
+  this->TakeChain(call);
+  if (this->Identify(call) && this->TakeQuota(call)) {
+    this->Admit(call);
   }
-  control::UpdateShares(this->settings.decisions.admission, services, roots,
-                        this->admission);
-  this->LogShares();
 }
 
-/// A line when a share has moved by a tenth since the last line.
-void EntryCalls::LogShares() {
-  for (const auto& [route, state] : this->admission.routes) {
-    const auto [logged, is_new] = this->logged_shares.emplace(route, 1.0);
-    if (std::abs(logged->second - state.share) >= kLoggedStep) {
-      logged->second = state.share;
-      LogEvent(kEventShareChanged,
-               {{"route", this->RouteName(route)},
-                {"share", std::to_string(state.share)},
-                {"bound_by", state.bound_by},
-                {"offered_per_s", std::to_string(state.offered.per_s)}});
-    }
+/// Lets the request in, if there is room, and sends it.
+void EntryCalls::Admit(const CallPointer& call) {
+  if (call->is_root && !this->AdmitRoot(call)) {
+    return;
   }
+  this->Open(call);
+  this->Attempt(call);
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -129,8 +129,12 @@
 void EntryCalls::RefuseNotRun(const CallPointer& call,
                               CallReason reason,
                               Millis wait) {
+  if (call->has_token) {
+    call->has_token = false;
+    this->quotas.GiveBack(*call->account, BootTimeNow());
+  }
   // A refusal at entry has a line of its own.
-  const bool is_new = call->id != 0 || call->route == nullptr;
+  const bool is_new = !call->is_refused_at_entry;
   this->NoteEnd(*call,
                 is_new ? RequestEnd::kNotRun : RequestEnd::kRefusedAtEntry,
                 reason);
@@ -153,6 +157,9 @@
 void EntryCalls::NoteEnd(const Call& call, RequestEnd end, CallReason reason) {
   const LatencyMs took{PreciseNow().count - call.started.count};
   this->counts.NoteEnd(call.route, call.is_root, end, reason, took);
+  if (call.account != nullptr) {
+    this->counts.NoteAccount(call.account->name, end);
+  }
 }
 
 /// What ran for a root tells the calls of its route's chain; what ran for a
@@ -199,6 +206,7 @@
 
 void EntryCalls::Sweep(Millis now) {
   this->RetryWaiting();
+  this->SweepQuotaWaiters();
   while (!this->ends.empty() && this->ends.begin()->first <= now.count) {
     const std::uint32_t id = this->ends.begin()->second;
     const auto found = this->calls.find(id);
--- a/libs/relay/src/http_parser.cc
+++ b/libs/relay/src/http_parser.cc
@@ -201,6 +201,11 @@
     this->head.host.assign(value.data(), value.size());
   } else if (name == http::field::expect) {
     this->head.expects_continue = true;
+  } else if (name == http::field::authorization) {
+    this->head.credentials.assign(value.data(), value.size());
+    ++this->head.credential_count;
+    this->KeepField(name, name_text, value, this->head.identity_fields);
+    return;
   } else if (name == http::field::unknown) {
     if (IsField(name_text, this->names.time_left)) {
       this->head.time_left_ms = ParseNumber<std::int64_t>(value);
@@ -211,6 +216,10 @@
         IsField(name_text, this->names.target_instance)) {
       return;
     }
+    if (IsField(name_text, this->names.account)) {
+      this->KeepField(name, name_text, value, this->head.identity_fields);
+      return;
+    }
     if (IsField(name_text, this->names.request_id)) {
       this->head.id.assign(value.data(), value.size());
     }
@@ -221,6 +230,7 @@
 void RequestParser::on_header_impl(error_code& /*error*/) {
   this->head.is_keep_alive = this->keep_alive();
   this->DropNominated(this->head.fields);
+  this->DropNominated(this->head.identity_fields);
 }
 
 // ---- answers ----
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -165,6 +165,41 @@
   return in.IsGood();
 }
 
+void Append(const QuotaAskFrame& frame, std::string& out) {
+  Writer writer(FrameType::kQuotaAsk, out);
+  writer.Put(frame.account);
+  writer.PutShort(frame.wanted);
+}
+
+bool Decode(std::string_view payload, QuotaAskFrame& frame) {
+  Reader in(payload);
+  in.Take(frame.account);
+  frame.wanted = in.TakeShortNumber();
+  return in.IsGood();
+}
+
+void Append(const QuotaLoanFrame& frame, std::string& out) {
+  Writer writer(FrameType::kQuotaLoan, out);
+  writer.Put(frame.account);
+  writer.PutByte(static_cast<std::uint8_t>((frame.is_lender ? 1U : 0U) |
+                                           (frame.loan.is_ample ? 2U : 0U)));
+  writer.PutShort(frame.loan.granted);
+  writer.PutShort(static_cast<std::uint64_t>(frame.loan.next.count));
+  writer.PutShort(static_cast<std::uint64_t>(frame.loan.wait.count));
+}
+
+bool Decode(std::string_view payload, QuotaLoanFrame& frame) {
+  Reader in(payload);
+  in.Take(frame.account);
+  const std::uint8_t flags = in.TakeByte();
+  frame.is_lender = (flags & 1U) != 0;
+  frame.loan.is_ample = (flags & 2U) != 0;
+  frame.loan.granted = in.TakeShortNumber();
+  frame.loan.next = Millis{in.TakeShortNumber()};
+  frame.loan.wait = Millis{in.TakeShortNumber()};
+  return in.IsGood();
+}
+
 void AppendPolicy(std::string_view policy, std::string& out) {
   Writer writer(FrameType::kPolicy, out);
   writer.PutText(policy);
--- a/libs/relay/src/peer_policy.cc
+++ b/libs/relay/src/peer_policy.cc
@@ -57,6 +57,15 @@
                                 before_with_source);
 }
 
+bool PeerTable::IsInTouchWithSource() const {
+  const bool is_told = std::any_of(
+      this->peers.begin(), this->peers.end(), [](const PeerPointer& peer) {
+        return !peer->is_self && peer->IsReachable() && !peer->is_suspect &&
+               peer->told.has_source;
+      });
+  return is_told || (this->self->told.has_source && this->FollowsSource());
+}
+
 void PeerTable::AskForPolicy(Millis now) {
   const control::FollowRules& rules = this->settings.decisions.follow;
   const std::uint64_t own = this->self->told.policy_version;
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -32,6 +32,9 @@
 /// A node that could not be reached for so long is no longer dialled; it dials
 /// us when it comes back.
 constexpr Millis kForgetAfter{60'000};
+/// A node that was not reached for so long counts as gone rather than cut off:
+/// as long as the parts of a network were seen to lose each other, twice over.
+constexpr Millis kCutOffAtMost{30'000};
 
 }  // namespace
 
@@ -173,6 +176,7 @@
         if (this->is_closed) {
           return;
         }
+        peer->is_refused = error == boost::asio::error::connection_refused;
         if (error) {
           peer->next_dial = BootTimeNow() + peer->dial_wait;
           return;
@@ -243,6 +247,18 @@
       [](const PeerPointer& peer) { return peer->IsReachable(); }));
 }
 
+PeerTable::Reach PeerTable::ReachOfNodes(Millis now) const {
+  Reach reach;
+  for (const PeerPointer& peer : this->peers) {
+    const bool is_reached = peer->IsReachable();
+    const bool may_be_cut_off = !peer->is_refused && !peer->told.is_stopping &&
+                                now - peer->lost_at <= kCutOffAtMost;
+    reach.reached += is_reached ? 1 : 0;
+    reach.known += is_reached || may_be_cut_off ? 1 : 0;
+  }
+  return reach;
+}
+
 void PeerTable::ForgetLost(Millis now) {
   const auto is_gone = [now](const PeerPointer& peer) {
     return !peer->is_self && peer->link == nullptr && !peer->is_dialling &&
@@ -260,8 +276,10 @@
 /// still, so the link stays for a while.
 void PeerTable::CheckSilence(Millis now, const PeerPointer& peer) {
   const Millis heard = peer->link->LastReceived();
+  const std::uint32_t answers_due = peer->answer_due > heard ? 1 : 0;
   const control::LinkSilence silence{now, heard, peer->pinged,
-                                     peer->first_pinged, peer->outstanding};
+                                     peer->first_pinged,
+                                     peer->outstanding + answers_due};
   const control::SilenceStep step = peer->is_greeted
                                         ? control::StepOnSilence(silence)
                                         : control::SilenceStep::kNothing;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -205,6 +205,7 @@
            {{"version", std::to_string(table->version)},
             {"before", std::to_string(this->PolicyVersion())},
             {"routes", std::to_string(table->routes.size())},
+            {"accounts", std::to_string(table->accounts.Size())},
             {"source", source}});
   this->policy_taken = BootTimeNow();
   this->callers.SetLimits(table->limits);
@@ -338,6 +339,13 @@
       }
       return;
     }
+    case FrameType::kQuotaAsk: {
+      QuotaAskFrame ask;
+      if (Decode(frame.payload, ask)) {
+        this->entry.Quotas().OnAsk(link, ask);
+      }
+      return;
+    }
     default:
       // A newer node's frame; it does without an answer.
       return;
@@ -355,6 +363,11 @@
     if (Decode(frame.payload, data)) {
       this->entry.OnPart(peer, data);
     }
+  } else if (frame.type == FrameType::kQuotaLoan) {
+    QuotaLoanFrame loan;
+    if (Decode(frame.payload, loan)) {
+      this->entry.Quotas().OnLoan(loan);
+    }
   }
 }
 
@@ -362,6 +375,8 @@
   this->settings.service = changed.service;
   this->settings.target_address = changed.target_address;
   this->settings.repeats = changed.repeats;
+  this->settings.quotas = changed.quotas;
+  this->settings.revoke_after = changed.revoke_after;
   this->settings.decisions = changed.decisions;
   this->served.SetUsablePart(changed.decisions.usable_slots);
   this->served.SetTargetAddress(changed.target_address);
@@ -386,6 +401,7 @@
   if (this->ticks % kPeerTicks == 0) {
     this->peers.Tick(now);
     this->entry.UpdateAdmission(now);
+    this->entry.Quotas().Tick(now);
     this->NoteSlotTime();
     FlushLog();
   }
@@ -413,7 +429,7 @@
   this->is_stopping = true;
   this->stop_started = BootTimeNow();
   LogEvent(kEventStopping,
-           {{"open_requests", std::to_string(this->entry.Open())},
+           {{"open_requests", std::to_string(this->entry.OpenCalls())},
             {"running", std::to_string(this->served.Running())}});
   this->callers.StartClosing();
   // Others read the source of the policy in its place from now on.
@@ -429,13 +445,14 @@
   if (since >= kCallersLeave) {
     this->callers.CloseIdle();
   }
-  const bool is_idle = this->entry.Open() == 0 && this->callers.Busy() == 0 &&
+  const bool is_idle = this->entry.OpenCalls() == 0 &&
+                       this->callers.Busy() == 0 &&
                        this->served.Running() + this->served.Waiting() == 0;
   const bool is_forced = since >= this->settings.grace - kLastAnswers;
   if ((since >= kCallersLeave && is_idle) || is_forced) {
     if (!is_idle) {
       LogEvent(kEventDrainForced,
-               {{"open_requests", std::to_string(this->entry.Open())},
+               {{"open_requests", std::to_string(this->entry.OpenCalls())},
                 {"running", std::to_string(this->served.Running())}});
     }
     this->entry.EndAll();
--- a/libs/relay/src/request_counts.cc
+++ b/libs/relay/src/request_counts.cc
@@ -14,13 +14,17 @@
 /// has them, as keys are hashes and 0 means none.
 constexpr std::uint32_t kNoRouteKey = 0;
 constexpr std::uint32_t kOtherRoutesKey = 1;
+/// Client accounts that are told apart in metrics; those that come later count
+/// as one.
+constexpr std::size_t kMostAccounts = 256;
 
 }  // namespace
 
 const char* ToString(RequestEnd end) {
-  static constexpr std::array<const char*, 8> kNames = {
-      "served",    "failed_by_target", "refused_at_entry", "not_run",
-      "timed_out", "unknown",          "no_route",         "caller_left"};
+  static constexpr std::array<const char*, 10> kNames = {
+      "served",      "failed_by_target", "refused_at_entry", "not_run",
+      "timed_out",   "unknown",          "no_route",         "caller_left",
+      "unknown_key", "over_quota"};
   return kNames[static_cast<std::size_t>(end)];
 }
 
@@ -52,6 +56,12 @@
   counts.took.Add(took);
 }
 
+void RequestCounts::NoteAccount(const std::string& account, RequestEnd end) {
+  const bool is_told_apart = this->accounts.size() < kMostAccounts ||
+                             this->accounts.count(account) > 0;
+  ++this->accounts[is_told_apart ? account : "others"][end];
+}
+
 void RequestCounts::NoteRepeat(const policy::Route& route, CallReason after) {
   ++this->Of(&route).repeats[after];
 }
@@ -93,6 +103,15 @@
   write_sends("moved_total",
               "Sends to another target after one turned it back unsent.",
               &RouteCounts::moves);
+  out.Begin("account_requests_total", "counter",
+            "Root requests of client accounts that ended, by how.");
+  for (const auto& [account, ends] : this->accounts) {
+    for (const auto& [end, count] : ends) {
+      out.Add(MetricLabel("account", account) + "," +
+                  MetricLabel("outcome", ToString(end)),
+              static_cast<double>(count));
+    }
+  }
   out.Begin("request_ms", "histogram", "Time from a request to its end.");
   for (const auto& [key, counts] : this->routes) {
     out.AddHistogram(MetricLabel("route", counts.name), counts.took);
--- /dev/null
+++ b/libs/relay/tests/bearer_key_test.cc
@@ -0,0 +1,63 @@
+#include "almondlink/relay/bearer_key.h"
+
+#include <catch2/catch.hpp>
+
+namespace almondlink::relay {
+namespace {
+
+/// The head of a request with these further fields.
+RequestHead HeadOf(const std::string& fields) {
+  HeaderNames names;
+  names.request_id = "X-Id";
+  names.account = "X-Account";
+  RequestParser parser(names);
+  std::string text =
+      "GET /a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n" + fields + "\r\n";
+  REQUIRE(parser.Feed(text) == ParseStep::kDone);
+  return parser.head;
+}
+
+BearerKey KeyOf(const std::string& fields) {
+  return ReadBearerKey(HeadOf(fields));
+}
+
+TEST_CASE("the scheme is read in any case, with any spaces") {
+  for (const char* value : {"Bearer k-1", "bearer k-1", "BEARER   k-1",
+                            "  Bearer \t k-1  ", "bEaReR k-1"}) {
+    const BearerKey key =
+        KeyOf(std::string("Authorization: ") + value + "\r\n");
+    CAPTURE(value);
+    REQUIRE(key.form == KeyForm::kKey);
+    REQUIRE(key.key == "k-1");
+  }
+}
+
+TEST_CASE("none, another scheme and malformed ones are told apart") {
+  REQUIRE(KeyOf("").form == KeyForm::kAbsent);
+  REQUIRE(KeyOf("Authorization: Basic abc\r\n").form == KeyForm::kAbsent);
+  REQUIRE(KeyOf("Authorization: Bearerk-1\r\n").form == KeyForm::kAbsent);
+  REQUIRE(KeyOf("Authorization: \r\n").form == KeyForm::kAbsent);
+  REQUIRE(KeyOf("Authorization: Bearer\r\n").form == KeyForm::kMalformed);
+  REQUIRE(KeyOf("Authorization: Bearer a b\r\n").form == KeyForm::kMalformed);
+  REQUIRE(KeyOf("Authorization: Bearer k\xc3\xa4\r\n").form ==
+          KeyForm::kMalformed);
+  REQUIRE(
+      KeyOf("Authorization: Bearer " + std::string(5000, 'x') + "\r\n").form ==
+      KeyForm::kMalformed);
+  REQUIRE(
+      KeyOf("Authorization: Bearer a\r\nAuthorization: Bearer a\r\n").form ==
+      KeyForm::kMalformed);
+}
+
+TEST_CASE("what names a caller is kept apart from what is passed on") {
+  const RequestHead head = HeadOf(
+      "Authorization: Bearer k\r\nX-Account: forged\r\nX-Other: 1\r\n"
+      "x-account: again\r\n");
+  REQUIRE(head.fields == "Host: h\r\nX-Id: 1\r\nX-Other: 1\r\n");
+  REQUIRE(head.identity_fields ==
+          "Authorization: Bearer k\r\nX-Account: forged\r\n"
+          "x-account: again\r\n");
+}
+
+}  // namespace
+}  // namespace almondlink::relay
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -122,6 +122,8 @@
   run.method = std::string(request.method_string());
   run.target = std::string(request.target());
   run.caller_service = Field(request, "Caller-Service");
+  run.account = Field(request, "Tenant");
+  run.credentials = Field(request, "Authorization");
   run.body = request.body();
   run.left_ms = std::atoll(Field(request, "Deadline-Ms").c_str());
   run.at = std::chrono::steady_clock::now();
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -39,6 +39,10 @@
   std::string method;
   std::string target;
   std::string caller_service;
+  /// The client account that it was told, and the caller's credentials, which
+  /// it must never see where the policy has accounts.
+  std::string account;
+  std::string credentials;
   std::string body;
   std::int64_t left_ms = 0;
   std::chrono::steady_clock::time_point at;
--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -6,6 +6,7 @@
 #include "almondlink/control/idempotency_key.h"
 #include "almondlink/policy/bundle.h"
 #include "almondlink/policy/fold.h"
+#include "almondlink/relay/bearer_key.h"
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/wire/messages.generated.h"
@@ -100,6 +101,8 @@
     FrameTrip<relay::AnswerFrame>(frame->payload);
     FrameTrip<relay::DataFrame>(frame->payload);
     FrameTrip<relay::WindowFrame>(frame->payload);
+    FrameTrip<relay::QuotaAskFrame>(frame->payload);
+    FrameTrip<relay::QuotaLoanFrame>(frame->payload);
     rest.remove_prefix(frame->size);
   }
 }
@@ -128,6 +131,23 @@
   }
 }
 
+/// A key that was read is one that a policy can hold.
+void ReadKey(const std::string& text) {
+  namespace relay = almondlink::relay;
+  static const relay::HeaderNames kNames;
+  relay::RequestParser parser(kNames);
+  std::string rest = "GET / HTTP/1.1\r\nAuthorization: " + text + "\r\n\r\n";
+  if (parser.Feed(rest) != relay::ParseStep::kDone) {
+    return;
+  }
+  const relay::BearerKey key = relay::ReadBearerKey(parser.head);
+  const bool is_read = key.form == relay::KeyForm::kKey;
+  if (is_read != !key.key.empty() ||
+      key.key.find_first_of(" \t\r\n") != std::string::npos) {
+    __builtin_trap();
+  }
+}
+
 /// What other programs write on the users' platform: whatever it is, it is read
 /// or refused, and what is read is within its bounds.
 void ReadEntries(const std::string& text) {
@@ -176,7 +196,7 @@
     return 0;
   }
   const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 9) {
+  switch (data[0] % 10) {
     case 0:
       DecodeMessages(data + 1, size - 1);
       break;
@@ -206,6 +226,9 @@
     case 8:
       ReadEntries(text);
       break;
+    case 9:
+      ReadKey(text);
+      break;
     default:
       almondlink::control::ParseMintedKey(text);
       almondlink::control::TimeOfUuid7(text);
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -40,8 +40,10 @@
   return spec;
 }
 
-std::string MakeConfig(std::uint64_t version,
-                       const std::vector<RouteSpec>& routes) {
+namespace {
+
+nlohmann::json MakeRoutes(std::uint64_t version,
+                          const std::vector<RouteSpec>& routes) {
   nlohmann::json rows = nlohmann::json::array();
   for (const RouteSpec& route : routes) {
     nlohmann::json split;
@@ -52,23 +54,48 @@
         route.split.empty() ? nlohmann::json(route.service) : nlohmann::json();
     rows.push_back({route.name, route.host, route.prefix, route.kind,
                     route.timeout_ms, route.aim_ms, route.priority, split,
-                    route.attempts, service});
+                    route.attempts, service, route.is_anonymous});
+  }
+  return {{"version", version},
+          {"routes",
+           {{"columns",
+             {"name", "hostname", "pathPrefix", "kind", "timeoutMs",
+              "targetLatencyMs", "priority", "split", "attempts", "service",
+              "anonymous"}},
+            {"rows", rows}}},
+          {"services",
+           {{"columns", {"name", "healthPath", "maxConns", "protocol", "tls"}},
+            {"rows", nlohmann::json::array()}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 1048576},
+            {"headerTimeoutMs", 3000},
+            {"idleTimeoutMs", 15000}}}};
+}
+
+}  // namespace
+
+std::string MakeConfig(std::uint64_t version,
+                       const std::vector<RouteSpec>& routes) {
+  return MakeRoutes(version, routes).dump();
+}
+
+std::string MakeConfig(std::uint64_t version,
+                       const std::vector<RouteSpec>& routes,
+                       const std::vector<AccountSpec>& accounts) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const AccountSpec& account : accounts) {
+    nlohmann::json priority;
+    if (account.priority.has_value()) {
+      priority = *account.priority;
+    }
+    rows.push_back(
+        {account.name, account.keys, priority, account.per_s, account.burst});
   }
-  const nlohmann::json config = {
-      {"version", version},
-      {"routes",
-       {{"columns",
-         {"name", "hostname", "pathPrefix", "kind", "timeoutMs",
-          "targetLatencyMs", "priority", "split", "attempts", "service"}},
-        {"rows", rows}}},
-      {"services",
-       {{"columns", {"name", "healthPath", "maxConns", "protocol", "tls"}},
-        {"rows", nlohmann::json::array()}}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 1048576},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}}};
+  nlohmann::json config = MakeRoutes(version, routes);
+  config["tenants"] = {
+      {"columns", {"name", "apiKeys", "priority", "ratePerS", "burst"}},
+      {"rows", rows}};
   return config.dump();
 }
 
@@ -98,7 +125,9 @@
   return this->folder + "/node-" + std::to_string(node) + ".log";
 }
 
-void RelayCluster::WriteSettings(int node, const std::string& service) {
+void RelayCluster::WriteSettings(int node,
+                                 const std::string& service,
+                                 const std::string& relay) {
   std::ofstream out(this->SettingsPath(node));
   out << "[node]\nid = node-" << node
       << "\ndeployment = test\nzone = " << this->nodes[Index(node)].zone
@@ -115,7 +144,7 @@
               ? "\nadvertise_address = " + At(this->PortOf(node, kProxyPort))
               : std::string())
       << "\ndrain = 2s\ngrace = 6s\nrepeat_fixed = 40\n"
-      << "[logging]\nlevel = info\n";
+      << relay << "[logging]\nlevel = info\n";
 }
 
 int RelayCluster::Add(standins::FakeInstance::Spec spec,
@@ -165,6 +194,12 @@
   this->store.Put("keyed.op", "config", MakeConfig(version, routes));
 }
 
+void RelayCluster::Configure(std::uint64_t version,
+                             const std::vector<RouteSpec>& routes,
+                             const std::vector<AccountSpec>& accounts) {
+  this->store.Put("keyed.op", "config", MakeConfig(version, routes, accounts));
+}
+
 void RelayCluster::WaitReady() {
   const auto all = static_cast<double>(this->nodes.size());
   const bool is_ready = Soon([&]() {
@@ -221,4 +256,22 @@
   return client.Send(request);
 }
 
+standins::PlainAnswer RelayCluster::CallWith(
+    int node,
+    const std::string& host,
+    const std::string& path,
+    const std::string& id,
+    const std::map<std::string, std::string>& fields) {
+  standins::BlockingHttp client(
+      {"127.0.0.1", static_cast<std::uint16_t>(this->CallerPort(node))},
+      std::chrono::seconds(7));
+  standins::PlainRequest request;
+  request.target = path;
+  request.headers = fields;
+  request.headers["Host"] = host;
+  request.headers["Request-Id"] = id;
+  request.headers["Deadline-Ms"] = "5000";
+  return client.Send(request);
+}
+
 }  // namespace almondlink::test
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -29,6 +29,17 @@
   int attempts = 2;
   /// `service:weight` pairs in place of the one service.
   std::vector<std::pair<std::string, int>> split;
+  bool is_anonymous = false;
+};
+
+/// One client account of the policy that a test writes.
+struct AccountSpec {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<int> priority;
+  /// 0: no limit.
+  double per_s = 0;
+  double burst = 0;
 };
 
 /// An instance with its usual behaviour.
@@ -38,6 +49,10 @@
 /// The operator's configuration with these routes.
 std::string MakeConfig(std::uint64_t version,
                        const std::vector<RouteSpec>& routes);
+/// With client accounts.
+std::string MakeConfig(std::uint64_t version,
+                       const std::vector<RouteSpec>& routes,
+                       const std::vector<AccountSpec>& accounts);
 
 /// Relay nodes as processes, each with a stand-in instance beside it, and the
 /// stand-in store. Ports from `base_port` on, ten for each node.
@@ -67,6 +82,9 @@
   int Door(int node) const { return node; }
 
   void Configure(std::uint64_t version, const std::vector<RouteSpec>& routes);
+  void Configure(std::uint64_t version,
+                 const std::vector<RouteSpec>& routes,
+                 const std::vector<AccountSpec>& accounts);
   /// Waits until every node is ready, knows all others, and each instance has
   /// been seen everywhere.
   void WaitReady();
@@ -79,6 +97,13 @@
                              const std::string& method = "GET",
                              const std::string& body = "",
                              int left_ms = 5000);
+  /// A request with these fields besides, on a connection of its own.
+  standins::PlainAnswer CallWith(
+      int node,
+      const std::string& host,
+      const std::string& path,
+      const std::string& id,
+      const std::map<std::string, std::string>& fields);
   standins::PlainAnswer Ready(int node);
   /// One figure of the metrics without labels, or nothing.
   std::optional<double> Metric(int node, const std::string& name);
@@ -89,7 +114,10 @@
   std::string SettingsPath(int node) const;
   std::string LogPath(int node) const;
   int PeerPort(int node) const;
-  void WriteSettings(int node, const std::string& service);
+  /// `relay`: further lines of the section [relay].
+  void WriteSettings(int node,
+                     const std::string& service,
+                     const std::string& relay = "");
 
  private:
   struct Entry {
