Test of peer links: the server goes after its loop

Cause: one run of process_links_test aborted at its start (*malloc: unaligned tcache chunk*). A run under valgrind shows it: the test's ~Wire destroyed the server on the main thread while its loop still ran, and a link that closed called the freed server (29 reads of freed memory, all from there). Ruled out: the node itself, which ends its loop first.

Change: the test stops the loop before the server goes; the header says that it must.

--- a/libs/mesh/include/almondlink/mesh/peer_server.h
+++ b/libs/mesh/include/almondlink/mesh/peer_server.h
@@ -42,7 +42,8 @@
 };
 
 /// Accepts links from other nodes (WebSocket, CBOR messages). All methods are
-/// called on the thread of its loop.
+/// called on the thread of its loop. It must outlive the loop's last run: links
+/// that close still call it.
 class PeerServer {
  public:
   PeerServer(boost::asio::io_context& loop,
--- a/test/process/links_test.cc
+++ b/test/process/links_test.cc
@@ -29,10 +29,15 @@
       context.get_executor()};
   std::thread thread{[this]() { this->context.run(); }};
 
-  ~Loop() {
-    this->guard.reset();
-    this->context.stop();
-    this->thread.join();
+  ~Loop() { this->Stop(); }
+
+  /// Runs nothing any more.
+  void Stop() {
+    if (this->thread.joinable()) {
+      this->guard.reset();
+      this->context.stop();
+      this->thread.join();
+    }
   }
 
   template <typename Task>
@@ -100,6 +105,8 @@
     this->links_loop.Do([&]() { this->links.reset(); });
     this->server_loop.Do([&]() { this->server->Close(); });
     this->relay.reset();
+    // Connections that close still call the server: it goes after its loop.
+    this->server_loop.Stop();
   }
 
   void Answer(mesh::LinkId link, std::uint64_t id, const std::string& body) {
