--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -114,7 +114,7 @@
   const control::InstanceLedger& Ledger() const { return this->ledger; }
   const control::DemandMeter& Meter() const { return this->meter; }
   const ServedCounters& Counters() const { return this->counters; }
-  std::uint32_t Running() const;
+  std::uint32_t Running() const { return this->running; }
   std::uint32_t Waiting() const;
   std::uint64_t Connects() const { return this->pool.Connects(); }
 
@@ -127,6 +127,8 @@
 
   void Fill(Millis now);
   void Dispatch(Millis now, const CallPointer& call);
+  void TellLoad(AnswerFrame& answer) const;
+  TargetRequest MakeRequest(Call& call, Millis left) const;
   void OnAnswer(const CallPointer& call,
                 const AnswerHead& head,
                 const std::string& body,
--- a/libs/relay/src/entry_accounts.cc
+++ b/libs/relay/src/entry_accounts.cc
@@ -1,11 +1,10 @@
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include "almondlink/base/event_log.h"
 #include "almondlink/control/root_priority.h"
 #include "almondlink/relay/bearer_key.h"
 #include "almondlink/relay/entry_calls.h"
+#include "answer_text.h"
 #include "entry_call.h"
 
 /// Who asks, and whether the account may ask for more: API keys and quotas.
@@ -19,10 +18,6 @@
 
 namespace {
 
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kUnauthorized = 401;
-constexpr std::uint32_t kTooMany = 429;
-constexpr std::uint32_t kUnavailable = 503;
 /// Advice while a node may be behind the policy: it asks another node at once,
 /// and has it within a few round trips.
 constexpr Millis kBehindWait{300};
@@ -41,27 +36,6 @@
 constexpr std::int64_t kStartWaitPart = 2;
 constexpr Millis kLeastQuotaWait{60};
 constexpr Millis kShortestReturn{50};
-constexpr double kMillisPerSecond = 1000;
-
-std::string RetryAfterField(Millis wait) {
-  std::array<char, 40> field{};
-  std::snprintf(field.data(), field.size(), "Retry-After: %.2f\r\n",
-                static_cast<double>(wait.count) / kMillisPerSecond);
-  return field.data();
-}
-
-std::string_view TextOf(std::uint32_t status) {
-  switch (status) {
-    case kBadRequest:
-      return "Bad Request";
-    case kUnauthorized:
-      return "Unauthorized";
-    case kTooMany:
-      return "Too Many Requests";
-    default:
-      return "Service Unavailable";
-  }
-}
 
 }  // namespace
 
@@ -84,7 +58,7 @@
   if (call->account != nullptr) {
     call->api_key = bearer.key;
     if (is_needed && !this->CanVouch(now)) {
-      this->RefuseKey(call, kUnavailable, "out-of-touch");
+      this->RefuseKey(call, kStatusUnavailable, "out-of-touch");
       return false;
     }
     call->is_root = true;
@@ -103,18 +77,18 @@
     return true;
   }
   if (bearer.form == KeyForm::kMalformed) {
-    this->RefuseKey(call, kBadRequest, "malformed");
+    this->RefuseKey(call, kStatusBadRequest, "malformed");
     return false;
   }
   if (bearer.form == KeyForm::kKey) {
     const bool is_behind = this->MayBeBehind();
     call->api_key = bearer.key;
-    this->RefuseKey(call, is_behind ? kUnavailable : kUnauthorized,
+    this->RefuseKey(call, is_behind ? kStatusUnavailable : kStatusUnauthorized,
                     is_behind ? "behind" : "unknown");
     return false;
   }
   if (call->is_root) {
-    this->RefuseKey(call, kUnauthorized, "absent");
+    this->RefuseKey(call, kStatusUnauthorized, "absent");
     return false;
   }
   const bool may_be_of_run_before =
@@ -124,7 +98,7 @@
     return true;
   }
   // A call of a run that has ended: nobody waits for what it would bring.
-  this->RefuseKey(call, kUnavailable, "run-ended");
+  this->RefuseKey(call, kStatusUnavailable, "run-ended");
   return false;
 }
 
@@ -148,14 +122,14 @@
          {"version_age_ms", std::to_string(age.count)}});
   }
   std::string fields;
-  if (status == kUnauthorized) {
+  if (status == kStatusUnauthorized) {
     fields = call->api_key.empty()
                  ? "WWW-Authenticate: Bearer\r\n"
                  : "WWW-Authenticate: Bearer error=\"invalid_token\"\r\n";
-  } else if (status == kUnavailable) {
+  } else if (status == kStatusUnavailable) {
     fields = RetryAfterField(kBehindWait);
   }
-  call->exchange->Answer(status, TextOf(status), fields, "");
+  call->exchange->Answer(status, StatusText(status), fields, "");
 }
 
 /// Notes whether the source of the policy is in reach.
@@ -284,7 +258,7 @@
       std::max(kShortestReturn,
                Millis{static_cast<std::int64_t>(
                    static_cast<double>(told.count) * (1 + this->Draw() / 2))});
-  const std::uint32_t status = is_over ? kTooMany : kUnavailable;
+  const std::uint32_t status = is_over ? kStatusTooMany : kStatusUnavailable;
   this->NoteEnd(*call, is_over ? RequestEnd::kOverQuota : RequestEnd::kNotRun,
                 CallReason::kNone);
   if (WouldLog(kEventOverQuota)) {
@@ -301,7 +275,7 @@
               {"version", std::to_string(call->table->version)},
               {"retry_after_ms", std::to_string(wait.count)}});
   }
-  call->exchange->Answer(status, TextOf(status), RetryAfterField(wait), "");
+  call->exchange->Answer(status, StatusText(status), RetryAfterField(wait), "");
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -4,13 +4,13 @@
 #include "almondlink/base/event_log.h"
 #include "almondlink/control/placement.h"
 #include "almondlink/relay/entry_calls.h"
+#include "answer_text.h"
 #include "entry_call.h"
 
 namespace almondlink::relay {
 
 namespace {
 
-constexpr std::uint32_t kUnauthorized = 401;
 constexpr std::uint32_t kMisdirected = 421;
 constexpr std::uint32_t kServerError = 500;
 /// Sends that were turned back before the target, for one request.
@@ -94,7 +94,7 @@
 void EntryCalls::Attempt(const CallPointer& call) {
   if (call->tried.empty() && !this->IsStillKnown(*call)) {
     this->Finish(call);
-    this->RefuseKey(call, kUnauthorized, "revoked");
+    this->RefuseKey(call, kStatusUnauthorized, "revoked");
     return;
   }
   const PeerPointer peer = this->NextPeer(*call);
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -1,9 +1,8 @@
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "almondlink/base/event_log.h"
 #include "almondlink/relay/entry_calls.h"
+#include "answer_text.h"
 #include "entry_call.h"
 
 namespace almondlink::relay {
@@ -11,23 +10,8 @@
 namespace {
 
 constexpr std::uint32_t kFirstFailure = 400;
-constexpr std::uint32_t kBadGateway = 502;
-constexpr std::uint32_t kUnavailable = 503;
-constexpr std::uint32_t kGatewayTimeout = 504;
-constexpr double kMillisPerSecond = 1000;
 constexpr double kMicrosPerMilli = 1000;
 
-std::string_view StatusText(std::uint32_t status) {
-  switch (status) {
-    case kBadGateway:
-      return "Bad Gateway";
-    case kGatewayTimeout:
-      return "Gateway Timeout";
-    default:
-      return "Service Unavailable";
-  }
-}
-
 }  // namespace
 
 void EntryCalls::PassAnswer(const CallPointer& call, const AnswerFrame& frame) {
@@ -110,7 +94,8 @@
   }
   const bool is_late =
       reason == CallReason::kTimeout || reason == CallReason::kDeadline;
-  const std::uint32_t status = is_late ? kGatewayTimeout : kBadGateway;
+  const std::uint32_t status =
+      is_late ? kStatusGatewayTimeout : kStatusBadGateway;
   this->NoteEnd(*call, is_late ? RequestEnd::kTimedOut : RequestEnd::kUnknown,
                 reason);
   LogEvent(
@@ -147,11 +132,8 @@
          {"service", call->service},
          {"retry_after_ms", std::to_string(wait.count)}});
   }
-  std::array<char, 40> field{};
-  std::snprintf(field.data(), field.size(), "Retry-After: %.2f\r\n",
-                static_cast<double>(wait.count) / kMillisPerSecond);
-  call->exchange->Answer(kUnavailable, StatusText(kUnavailable), field.data(),
-                         "");
+  call->exchange->Answer(kStatusUnavailable, StatusText(kStatusUnavailable),
+                         RetryAfterField(wait), "");
 }
 
 void EntryCalls::NoteEnd(const Call& call, RequestEnd end, CallReason reason) {
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -71,10 +71,6 @@
   this->pool.SetAddress(address);
 }
 
-std::uint32_t ServedCalls::Running() const {
-  return this->running;
-}
-
 std::uint32_t ServedCalls::Waiting() const {
   return static_cast<std::uint32_t>(this->queue.size());
 }
@@ -167,34 +163,7 @@
   ++this->started_runs.events;
   call->dispatched = PreciseNow();
   this->runs[call->request_id] = call;
-  TargetRequest request;
-  request.id = call->request_id;
-  request.is_head_method = call->method == "HEAD";
-  request.is_repeatable = call->is_repeatable;
-  request.bytes = std::move(call->start);
-  std::string& bytes = request.bytes;
-  const Millis left = call->info.deadline - now;
-  bytes.append(this->names.time_left)
-      .append(": ")
-      .append(std::to_string(left.count))
-      .append("\r\n")
-      .append(this->names.target_instance)
-      .append(": ")
-      .append(this->ledger.current.start.id)
-      .append("\r\n")
-      .append(this->names.caller_service)
-      .append(": ")
-      .append(call->caller_service)
-      .append("\r\n");
-  const bool has_body =
-      !call->body.empty() || (call->method != "GET" && call->method != "HEAD");
-  if (has_body) {
-    bytes.append("Content-Length: ")
-        .append(std::to_string(call->body.size()))
-        .append("\r\n");
-  }
-  bytes.append("\r\n").append(call->body);
-  std::string().swap(call->body);
+  TargetRequest request = this->MakeRequest(*call, call->info.deadline - now);
   TargetEvents target_events;
   const std::weak_ptr<Call> weak = call;
   target_events.on_answer = [this, weak](const AnswerHead& head,
@@ -224,6 +193,29 @@
       this->pool.Send(now, std::move(request), std::move(target_events));
 }
 
+/// What the target is sent; takes the call's bytes.
+TargetRequest ServedCalls::MakeRequest(Call& call, Millis left) const {
+  TargetRequest request;
+  request.id = call.request_id;
+  request.is_head_method = call.method == "HEAD";
+  request.is_repeatable = call.is_repeatable;
+  request.bytes = std::move(call.start);
+  std::string& bytes = request.bytes;
+  const auto put = [&bytes](const std::string& name, const std::string& value) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  };
+  put(this->names.time_left, std::to_string(left.count));
+  put(this->names.target_instance, this->ledger.current.start.id);
+  put(this->names.caller_service, call.caller_service);
+  const bool has_body =
+      !call.body.empty() || (call.method != "GET" && call.method != "HEAD");
+  if (has_body) {
+    put("Content-Length", std::to_string(call.body.size()));
+  }
+  bytes.append("\r\n").append(std::exchange(call.body, std::string()));
+  return request;
+}
+
 void ServedCalls::OnAnswer(const CallPointer& call,
                            const AnswerHead& head,
                            const std::string& body,
@@ -260,10 +252,8 @@
   if (!has_more) {
     this->EndRun(call);
   }
-  answer.running = this->Running();
-  answer.waiting = this->Waiting();
-  answer.erring = this->Erring();
   if (!call->is_abandoned) {
+    this->TellLoad(answer);
     this->events.on_answer(call->link, answer);
   }
   if (!has_more) {
@@ -310,6 +300,13 @@
   this->SendOutcome(call, CallOutcome::kNotSent, reason);
 }
 
+/// How the target is, with each answer.
+void ServedCalls::TellLoad(AnswerFrame& answer) const {
+  answer.running = this->Running();
+  answer.waiting = this->Waiting();
+  answer.erring = this->Erring();
+}
+
 void ServedCalls::SendOutcome(const CallPointer& call,
                               CallOutcome outcome,
                               CallReason reason) {
@@ -324,9 +321,7 @@
   answer.id = call->id;
   answer.outcome = outcome;
   answer.reason = reason;
-  answer.erring = this->Erring();
-  answer.running = this->Running();
-  answer.waiting = this->Waiting();
+  this->TellLoad(answer);
   this->events.on_answer(call->link, answer);
 }
 
