--- a/libs/control/include/almondlink/control/repeat_allowance.h
+++ b/libs/control/include/almondlink/control/repeat_allowance.h
@@ -37,10 +37,10 @@
 /// the fewest more and would lose the most, and among equals those whose root
 /// has a low hash. With chains of four calls of which each is refused by half
 /// 0.622 of the most valued end whole, 0.555 by the hash alone (test/replay,
-/// relay-kowhai-2-shed, means of twelve seeds). Where the order
-/// ends is worked out from what is asked for, by place, in the last second:
-/// keeping a fixed part for the first in order let the others take a third of a
-/// window's bound in the first second of a trouble.
+/// the third trace of targets that refuse, means of twelve seeds). Where the
+/// order ends is worked out from what is asked for, by place, in the last
+/// second: keeping a fixed part for the first in order let the others take a
+/// third of a window's bound in the first second of a trouble.
 namespace almondlink::control {
 
 /// What a request is that asks to be sent once more.
