--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -25,30 +25,65 @@
 }  // namespace
 
 FakeInstance::FakeInstance(Spec spec_in)
-    : spec(std::move(spec_in)), work_ms(spec.work_ms) {
+    : spec(std::move(spec_in)), work_ms(spec.work_ms), id(spec.id) {
+  this->Serve();
+  this->life = std::thread([this]() { this->Live(); });
+}
+
+void FakeInstance::Serve() {
   this->server = std::make_unique<FakeServer>(
       this->spec.port,
       [this](const FakeRequest& request, const IsGone& is_gone) {
         return this->React(request, is_gone);
       });
-  this->reporter = std::thread([this]() { this->ReportLoop(); });
+}
+
+std::string FakeInstance::Id() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->id;
 }
 
 FakeInstance::~FakeInstance() {
   this->is_stopped = true;
-  this->reporter.join();
+  this->life.join();
   this->server.reset();
 }
 
-void FakeInstance::ReportLoop() {
+void FakeInstance::Live() {
+  std::chrono::steady_clock::time_point reported;
   while (!this->is_stopped) {
-    if (this->reports) {
+    if (this->must_end) {
+      this->EndAndComeBack();
+      reported = {};
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (this->reports && now - reported >= kReportEvery) {
       this->Report("ready", ++this->sequence);
+      reported = now;
     }
-    std::this_thread::sleep_for(kReportEvery);
+    std::this_thread::sleep_for(kLook);
   }
 }
 
+/// As a process that crashes: all connections close, nobody listens, nothing
+/// is reported.
+void FakeInstance::EndAndComeBack() {
+  this->server.reset();
+  const int number = ++this->ends;
+  const auto until = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(this->spec.back_after_ms);
+  while (!this->is_stopped && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kLook);
+  }
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->id = this->spec.id + "-" + std::to_string(number);
+  }
+  this->sequence = 0;
+  this->must_end = false;
+  this->Serve();
+}
+
 unsigned FakeInstance::Report(const std::string& state, std::uint64_t number) {
   nlohmann::json body = {
       {"service", this->spec.service},
@@ -70,7 +105,7 @@
   BlockingHttp client(Loopback(this->spec.report_port), kReportTimeout);
   PlainRequest request;
   request.method = "POST";
-  request.target = "/instances/" + this->spec.id + "/" + call;
+  request.target = "/instances/" + this->Id() + "/" + call;
   request.headers["Content-Type"] = "application/json";
   request.body = body;
   return client.Send(request).status;
@@ -105,11 +140,11 @@
                              const IsGone& is_gone) {
   const std::string id = Field(request, "Request-Id");
   const std::string echo = "Request-Id: " + id + "\r\n";
-  const std::string seal = echo + "Response-Seal: " + this->spec.id + "\r\n";
+  const std::string own = this->Id();
+  const std::string seal = echo + "Response-Seal: " + own + "\r\n";
   Reaction reaction;
-  if (Field(request, "Target-Instance") != this->spec.id) {
-    reaction.bytes =
-        MakeAnswer(421, "Instance-Id: " + this->spec.id + "\r\n", "");
+  if (Field(request, "Target-Instance") != own) {
+    reaction.bytes = MakeAnswer(421, "Instance-Id: " + own + "\r\n", "");
     return reaction;
   }
   const InstanceFault now = this->fault;
@@ -119,6 +154,7 @@
   }
   SeenRequest run;
   run.id = id;
+  run.instance = own;
   run.method = std::string(request.method_string());
   run.target = std::string(request.target());
   run.caller_service = Field(request, "Caller-Service");
@@ -140,7 +176,11 @@
     reaction.hangs = true;
     return reaction;
   }
-  const auto until = run.at + std::chrono::milliseconds(this->work_ms.load());
+  const bool is_deadly =
+      this->spec.is_deadly != nullptr && this->spec.is_deadly(request);
+  const auto until =
+      run.at + std::chrono::milliseconds(is_deadly ? this->spec.ends_after_ms
+                                                   : this->work_ms.load());
   while (std::chrono::steady_clock::now() < until) {
     if (is_gone()) {
       const std::lock_guard<std::mutex> lock(this->mutex);
@@ -150,6 +190,12 @@
     std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(
         kLook, until - std::chrono::steady_clock::now()));
   }
+  if (is_deadly) {
+    this->must_end = true;
+    --this->at_once;
+    reaction.hangs = true;
+    return reaction;
+  }
   const bool is_good = this->MakeCalls(request);
   --this->at_once;
   const std::string body(static_cast<std::size_t>(this->spec.body_size), 'b');
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -33,9 +34,14 @@
   kNoSeal,
 };
 
+/// Whether a request ends the instance that runs it.
+using IsDeadly = std::function<bool(const FakeRequest& request)>;
+
 /// One request as the instance saw it.
 struct SeenRequest {
   std::string id;
+  /// The start of the instance that ran it.
+  std::string instance;
   std::string method;
   std::string target;
   std::string caller_service;
@@ -69,6 +75,11 @@
     std::uint64_t born = 0;
     /// Host and path of the calls that each request makes, in order.
     std::vector<std::pair<std::string, std::string>> calls;
+    /// The instance ends so long after it began to run such a request, with all
+    /// that it runs, and is back under another id.
+    IsDeadly is_deadly;
+    int ends_after_ms = 20;
+    int back_after_ms = 300;
   };
 
   explicit FakeInstance(Spec spec);
@@ -90,24 +101,32 @@
   /// Times that requests with this id ran.
   int RunsOf(const std::string& id);
   int MostAtOnce() const { return this->most_at_once; }
+  /// Times that it ended by itself.
+  int Ends() const { return this->ends; }
 
  private:
   Reaction React(const FakeRequest& request, const IsGone& is_gone);
   bool MakeCalls(const FakeRequest& request);
-  void ReportLoop();
+  void Live();
+  void Serve();
+  void EndAndComeBack();
+  std::string Id();
 
   Spec spec;
   std::atomic<InstanceFault> fault{InstanceFault::kNone};
   std::atomic<int> work_ms;
   std::atomic<bool> reports{true};
   std::atomic<bool> is_stopped{false};
+  std::atomic<bool> must_end{false};
+  std::atomic<int> ends{0};
   std::atomic<int> at_once{0};
   std::atomic<int> most_at_once{0};
   std::atomic<std::uint64_t> sequence{0};
   std::mutex mutex;
   std::vector<SeenRequest> seen;
   std::unique_ptr<FakeServer> server;
-  std::thread reporter;
+  std::string id;
+  std::thread life;
 };
 
 }  // namespace almondlink::standins
--- /dev/null
+++ b/test/process/relay_ends_test.cc
@@ -0,0 +1,98 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+#include "test/support/relay_cluster.h"
+
+/// Seen: one request, sent again under new ids at any node, ended target after
+/// target; a service of four answered nothing for seconds, several times a
+/// minute. More than three sends of it followed when its third target had long
+/// ended, and twenty targets ended under it in all.
+namespace almondlink::test {
+namespace {
+
+using standins::FakeRequest;
+using standins::PlainAnswer;
+using standins::SeenRequest;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// News is everywhere after this time, by the users' bound; sends until then
+/// are not counted.
+constexpr std::chrono::milliseconds kContact{3000};
+/// Sends of such a request that may follow, by all nodes together.
+constexpr int kSendsLeft = 3;
+
+const std::vector<RouteSpec> kRoutes = {
+    {"status", "portal.example", "/status/", "portal"},
+    {"front", "portal.example", "/front/", "front"}};
+
+bool IsDeadly(const FakeRequest& request) {
+  return request.target() == "/status/deadly" ||
+         request.body().find("deadly") != std::string::npos;
+}
+
+/// Four targets of one service, and a node beside another one.
+struct Portal {
+  static constexpr int kTargets = 4;
+  RelayCluster cluster;
+
+  Portal(int port, const std::string& name) : cluster(port, name) {
+    for (int i = 0; i < kTargets; ++i) {
+      standins::FakeInstance::Spec spec =
+          Spec("i-portal-" + std::to_string(i), "portal");
+      spec.work_ms = 10;
+      spec.is_deadly = IsDeadly;
+      this->cluster.Add(spec, "zone-" + std::to_string(i % 3));
+    }
+    this->cluster.Add(Spec("i-front", "front"));
+    this->cluster.Configure(1, kRoutes);
+    this->cluster.WaitReady();
+  }
+
+  /// Runs of the deadly request, in the order of their beginning.
+  std::vector<SteadyTime> DeadlyRuns() {
+    std::vector<SteadyTime> runs;
+    for (int i = 0; i < kTargets; ++i) {
+      for (const SeenRequest& run : this->cluster.Instance(i).Seen()) {
+        if (run.target == "/status/deadly" ||
+            run.body.find("deadly") != std::string::npos) {
+          runs.push_back(run.at);
+        }
+      }
+    }
+    std::sort(runs.begin(), runs.end());
+    return runs;
+  }
+
+  /// Of them, those that began when the third had long ended.
+  int LateRuns() {
+    const std::vector<SteadyTime> runs = this->DeadlyRuns();
+    if (runs.size() < 3) {
+      return 0;
+    }
+    const SteadyTime known = runs[2] + kContact;
+    return static_cast<int>(
+        std::count_if(runs.begin(), runs.end(),
+                      [known](SteadyTime at) { return at > known; }));
+  }
+};
+
+TEST_CASE("a request that ends its targets is soon sent to none") {
+  Portal portal(26500, "ends");
+  const auto until = std::chrono::steady_clock::now() + 2 * kContact;
+  int number = 0;
+  while (std::chrono::steady_clock::now() < until) {
+    const int node = number % (Portal::kTargets + 1);
+    ++number;
+    portal.cluster.Call(node, "portal.example", "/status/deadly",
+                        "d" + std::to_string(number));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  REQUIRE(portal.DeadlyRuns().size() >= 3);
+  REQUIRE(portal.LateRuns() <= kSendsLeft);
+}
+
+}  // namespace
+}  // namespace almondlink::test
