A target whose process is gone takes no calls until it reports again

Cause: the node beside a target went on telling it ready until its next report, up to seconds after the end, though a refused connect had shown it.

Ruled out: leaving it to the entry nodes with a lower count, since single connects fail for full targets too.

Mend: where a connect is refused and no connection is left, the node tells all at once that nobody is there, and turns back what waits; the next report of an instance opens it. A target that is full goes on with what it has, so its connections speak for it. The end is judged 2 ms after the first connection closed, when the loop has seen all of them close.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -153,8 +153,8 @@
 constexpr Event kEventRenumbered{624, Level::kInfo, "renumbered",
                                  Volume::kRare};
 /// The process of the target beside this node is gone, without having said that
-/// it leaves, while it ran `running` calls: their connections closed, and a
-/// connect was refused.
+/// it leaves: a connect was refused, and no connection is left. `running` calls
+/// ended with it. Nothing is sent there until it reports again.
 constexpr Event kEventTargetEnded{625, Level::kWarning, "target-ended",
                                   Volume::kRare};
 /// The request was running at a target that ended. `digest` names it by route,
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -51,7 +51,8 @@
                      bool was_sent,
                      Millis waited)>
       on_failed;
-  /// The process of that start of the target ended while it ran calls.
+  /// The process of that start of the target is gone; `running`: calls that
+  /// ended with it.
   std::function<void(const control::InstanceStart& start, std::size_t running)>
       on_target_ended;
 };
@@ -64,7 +65,7 @@
   std::uint64_t not_sent = 0;
   std::uint64_t broken = 0;
   std::uint64_t cancelled = 0;
-  /// Starts of the target whose process ended under calls.
+  /// Starts of the target whose process was found gone.
   std::uint64_t target_ends = 0;
 };
 
@@ -118,6 +119,8 @@
   void Sweep(Millis now);
 
   const control::InstanceLedger& Ledger() const { return this->ledger; }
+  /// Whether the process of the target is known to be gone.
+  bool IsGone() const { return this->is_gone; }
   const control::DemandMeter& Meter() const { return this->meter; }
   const ServedCounters& Counters() const { return this->counters; }
   std::uint32_t Running() const { return this->running; }
@@ -146,7 +149,9 @@
   void EndRun(const CallPointer& call);
   void EndRunsOfEarlierStart();
   void Break(const CallPointer& call);
-  void EndDoubt(bool is_gone);
+  void FindOut();
+  void EndDoubt(bool is_refused);
+  bool IsEnd(bool is_refused) const;
   void Sample(const Call& call, LatencyMs work);
   void Reject(const CallPointer& call, CallReason reason);
   void SendOutcome(const CallPointer& call,
@@ -169,8 +174,9 @@
   /// Calls whose connection closed without an answer, while it is found out
   /// whether the target's process is gone.
   std::vector<CallPointer> doubted;
-  /// The start of the target whose end was noticed last.
-  control::InstanceStart last_ended;
+  bool is_finding_out = false;
+  /// The target's process is gone; until it reports again.
+  bool is_gone = false;
   std::uint64_t arrivals = 0;
   std::uint32_t running = 0;
   Millis last_sweep;
--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -81,6 +81,9 @@
   /// gone for sure.
   void WhenGone(std::function<void(bool is_gone)> done) const;
 
+  /// Whether any idle connection is open.
+  bool HasOpenIdle() const;
+
   /// New connections made so far, for metrics.
   std::uint64_t Connects() const;
 
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -156,6 +156,7 @@
               {"service", this->served.Ledger().current.service},
               {"running", std::to_string(running)},
               {"waiting", std::to_string(this->served.Waiting())}});
+    this->peers.TellNow();
   };
   return events;
 }
@@ -178,7 +179,8 @@
   state.instance = ledger.current.start.id;
   state.born = ledger.current.start.born;
   state.sequence = ledger.current.sequence;
-  switch (ledger.phase) {
+  switch (this->served.IsGone() ? control::InstancePhase::kNone
+                                : ledger.phase) {
     case control::InstancePhase::kNone:
       state.state = InstanceState::kNone;
       break;
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -83,7 +83,7 @@
 }
 
 CallReason ServedCalls::WhyNotServed(Millis now, const CallFrame& frame) const {
-  if (this->ledger.phase == control::InstancePhase::kNone) {
+  if (this->ledger.phase == control::InstancePhase::kNone || this->is_gone) {
     return CallReason::kNoInstance;
   }
   if (frame.instance != this->ledger.current.start.id) {
@@ -148,6 +148,10 @@
       this->Reject(call, CallReason::kDraining);
       continue;
     }
+    if (this->is_gone) {
+      this->Reject(call, CallReason::kNoInstance);
+      continue;
+    }
     if (call->info.deadline <= now + kLeastLeft) {
       this->Reject(call, CallReason::kDeadline);
       continue;
@@ -188,6 +192,9 @@
       this->Break(open);
       return;
     }
+    if (reason == CallReason::kConnectFailed) {
+      this->FindOut();
+    }
     this->EndRun(open);
     this->SendOutcome(
         open, was_sent ? CallOutcome::kBroken : CallOutcome::kNotSent, reason);
@@ -202,22 +209,40 @@
 /// a request that ends its target would end the next one.
 void ServedCalls::Break(const CallPointer& call) {
   this->doubted.push_back(call);
-  if (this->doubted.size() == 1) {
-    this->pool.WhenGone([this](bool is_gone) { this->EndDoubt(is_gone); });
+  this->FindOut();
+}
+
+void ServedCalls::FindOut() {
+  if (!this->is_finding_out && !this->is_gone) {
+    this->is_finding_out = true;
+    this->pool.WhenGone(
+        [this](bool is_refused) { this->EndDoubt(is_refused); });
   }
 }
 
-void ServedCalls::EndDoubt(bool is_gone) {
+/// Whether the target's process is gone. One that is full may refuse a connect
+/// as well, but goes on with what it has. One that leaves ends as it said it
+/// would.
+bool ServedCalls::IsEnd(bool is_refused) const {
+  const auto alive = std::count_if(
+      this->runs.begin(), this->runs.end(), [this](const auto& run) {
+        return std::find(this->doubted.begin(), this->doubted.end(),
+                         run.second) == this->doubted.end();
+      });
+  return is_refused && alive == 0 && !this->pool.HasOpenIdle() &&
+         this->ledger.phase == control::InstancePhase::kReady;
+}
+
+void ServedCalls::EndDoubt(bool is_refused) {
+  this->is_finding_out = false;
+  const bool has_ended = this->IsEnd(is_refused);
   std::vector<CallPointer> broken;
   broken.swap(this->doubted);
-  const control::InstanceStart& start = this->ledger.current.start;
-  // One that leaves ends as it said it would.
-  const bool has_ended =
-      is_gone && this->ledger.phase == control::InstancePhase::kReady;
-  if (has_ended && this->last_ended != start) {
-    this->last_ended = start;
+  if (has_ended) {
+    // Told first, so that nothing is sent here for want of better knowledge.
+    this->is_gone = true;
     ++this->counters.target_ends;
-    this->events.on_target_ended(start, broken.size());
+    this->events.on_target_ended(this->ledger.current.start, broken.size());
   }
   for (const CallPointer& call : broken) {
     // Meanwhile it may have been given up, or its time was over.
@@ -404,6 +429,10 @@
   const control::ReportEffect effect =
       control::TakeReport(BootTimeNow(), report, this->ledger);
   const control::InstanceStart& current = this->ledger.current.start;
+  const bool is_back = this->is_gone &&
+                       effect != control::ReportEffect::kIgnored &&
+                       effect != control::ReportEffect::kRefused;
+  this->is_gone = this->is_gone && !is_back;
   if (before != current) {
     // Connections to the one before must not carry requests for this one.
     this->pool.CloseIdle();
@@ -413,7 +442,7 @@
       this->EndRunsOfEarlierStart();
     }
   }
-  return effect;
+  return is_back ? control::ReportEffect::kChanged : effect;
 }
 
 /// Nothing that ran at the start before will be answered: it may have run.
--- a/libs/relay/src/target_pool.cc
+++ b/libs/relay/src/target_pool.cc
@@ -108,6 +108,14 @@
               });
 }
 
+bool TargetPool::HasOpenIdle() const {
+  const auto& idle = this->state->idle;
+  return std::any_of(idle.begin(), idle.end(),
+                     [](const std::shared_ptr<TargetConnection>& connection) {
+                       return connection->IsOpen();
+                     });
+}
+
 std::uint64_t TargetPool::Connects() const {
   return this->state->connects;
 }
--- a/libs/relay/src/target_probe.cc
+++ b/libs/relay/src/target_probe.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// All connections of a process that ended close at once; after this the loop
+/// has seen all of them.
+constexpr std::chrono::milliseconds kBeforeProbe{2};
 /// On one host a connect is answered within a millisecond; this is for a host
 /// that is slow. Requests whose connection closed wait for it.
 constexpr std::chrono::milliseconds kLongestProbe{100};
@@ -32,13 +35,8 @@
   done(presence);
 }
 
-}  // namespace
-
-void ProbeTarget(boost::asio::io_context& loop,
-                 const boost::asio::ip::tcp::endpoint& address,
-                 std::function<void(TargetPresence)> done) {
-  const std::shared_ptr<Probe> probe = std::make_shared<Probe>(loop);
-  probe->done = std::move(done);
+void Connect(const std::shared_ptr<Probe>& probe,
+             const boost::asio::ip::tcp::endpoint& address) {
   probe->timer.expires_after(kLongestProbe);
   probe->timer.async_wait([probe](boost::system::error_code error) {
     if (!error) {
@@ -54,4 +52,19 @@
       });
 }
 
+}  // namespace
+
+void ProbeTarget(boost::asio::io_context& loop,
+                 const boost::asio::ip::tcp::endpoint& address,
+                 std::function<void(TargetPresence)> done) {
+  const std::shared_ptr<Probe> probe = std::make_shared<Probe>(loop);
+  probe->done = std::move(done);
+  probe->timer.expires_after(kBeforeProbe);
+  probe->timer.async_wait([probe, address](boost::system::error_code error) {
+    if (!error) {
+      Connect(probe, address);
+    }
+  });
+}
+
 }  // namespace almondlink::relay
--- a/test/process/relay_faults_test.cc
+++ b/test/process/relay_faults_test.cc
@@ -129,6 +129,34 @@
   REQUIRE(whole == 20);
 }
 
+TEST_CASE("nothing is sent to a target that is gone until it reports again") {
+  Pair pair(28100, "gone");
+  const auto moved = [&pair]() {
+    return pair.cluster.Metrics(2).Sum("almondlink_moved_total",
+                                       {{"after", "connect-failed"}});
+  };
+  pair.cluster.EndInstance(0);
+  int number = 0;
+  // Until one request has found out; each is served by the other target.
+  REQUIRE(Soon([&]() {
+    const PlainAnswer answer = pair.Get("f" + std::to_string(++number));
+    return answer.status == 200 && moved() > 0;
+  }));
+  REQUIRE(Soon([&]() {
+    return pair.cluster.Metric(1, "almondlink_open_targets") == 2;
+  }));
+  const double found_out = moved();
+  for (int i = 0; i < 60; ++i) {
+    REQUIRE(pair.Get("g" + std::to_string(i)).status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  REQUIRE(moved() == found_out);
+  pair.cluster.ReplaceInstance(0, "i-a-later");
+  REQUIRE(Soon([&]() {
+    return pair.cluster.Metric(1, "almondlink_open_targets") == 3;
+  }));
+}
+
 TEST_CASE("a node that is killed loses no request that may run again") {
   Pair pair(24580, "kill");
   pair.cluster.Instance(0).SetWork(300);
