Ends of targets: callers that leave and answers under way do not hide what ran

Callers: with a caller that leaves before its target ends, or a target that ends in the middle of a long answer, targets ended on and on: 35 sends later than 3 s after the third end, and 40 ends for 40 attempts.

Cause: only calls that were still waited for were noted at an end; a call that was cancelled is forgotten by both nodes, and a broken answer in parts said nothing of its target.

A trial is not cut short by a caller that leaves, since the next one would have to be tried.

Tests: 3 ends in both; others are served whole meanwhile, the same path with another body too; nodes that are killed are told by the others at their start.

--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -158,7 +158,9 @@
   bool MayRepeat(Millis now, const Call& call, CallReason after);
   control::RequestDigest DigestOf(const Call& call) const;
   /// The target's process ended while it ran the call.
-  void NoteTargetEnd(const CallPointer& call);
+  void NoteTargetEnd(const CallPointer& call, const PeerPointer& peer);
+  void NoteLeft(const CallPointer& call);
+  void OnEndAfterLeft(const PeerPointer& peer, std::uint32_t id);
   /// The target answered the call, so it lived through it.
   void NoteWholeRun(const CallPointer& call);
   bool MayBeBlamed(const Call& call) const;
@@ -225,6 +227,13 @@
   std::mt19937 random;
   RequestCounts counts;
   BlameExchange blame;
+  /// Calls whose callers left while a target ran them: it may yet end.
+  struct LeftCall {
+    CallPointer call;
+    PeerPointer peer;
+    Millis at;
+  };
+  std::deque<LeftCall> left;
   TrialCounts trials;
 };
 
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -264,6 +264,8 @@
   /// The last part; with `is_broken` the answer ended before its end.
   bool is_last = false;
   bool is_broken = false;
+  /// It broke because the target's process ended.
+  bool is_target_ended = false;
   std::string_view body;
 };
 
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -149,6 +150,9 @@
   void EndRun(const CallPointer& call);
   void EndRunsOfEarlierStart();
   void Break(const CallPointer& call);
+  void BreakAnswer(const CallPointer& call, bool is_target_ended);
+  void NoteLeft(Millis now, const CallPointer& call);
+  void TellLeft();
   void FindOut();
   void EndDoubt(bool is_refused);
   bool IsEnd(bool is_refused) const;
@@ -175,6 +179,14 @@
   /// whether the target's process is gone.
   std::vector<CallPointer> doubted;
   bool is_finding_out = false;
+  /// Calls that were cancelled while they ran: their target may yet end under
+  /// them.
+  struct LeftCall {
+    LinkId link = 0;
+    std::uint32_t id = 0;
+    Millis at;
+  };
+  std::deque<LeftCall> left;
   /// The target's process is gone; until it reports again.
   bool is_gone = false;
   std::uint64_t arrivals = 0;
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -218,6 +218,9 @@
   peer->sent_since = 0;
   const auto found = this->calls.find(frame.id);
   if (found == this->calls.end() || found->second->peer != peer) {
+    if (frame.reason == CallReason::kTargetEnded) {
+      this->OnEndAfterLeft(peer, frame.id);
+    }
     return;
   }
   const CallPointer call = found->second;
@@ -296,7 +299,7 @@
                                  CallOutcome outcome,
                                  CallReason reason) {
   if (reason == CallReason::kTargetEnded) {
-    this->NoteTargetEnd(call);
+    this->NoteTargetEnd(call, call->peer);
   }
   this->EndTrial(call, "undecided");
   const Millis now = BootTimeNow();
--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -22,6 +22,9 @@
 constexpr std::int64_t kTrialWaitPart = 2;
 /// The least of that: an ask and one short run.
 constexpr Millis kLeastTrialWait{200};
+/// Calls whose callers left are remembered for so long, and so many of them.
+constexpr Millis kLeftLately{1000};
+constexpr std::size_t kMostLeft = 128;
 
 }  // namespace
 
@@ -47,8 +50,9 @@
          !this->blame.IsBlank(PathHashOf(call.head.target));
 }
 
-void EntryCalls::NoteTargetEnd(const CallPointer& call) {
-  const StateFrame& target = call->peer->told;
+void EntryCalls::NoteTargetEnd(const CallPointer& call,
+                               const PeerPointer& peer) {
+  const StateFrame& target = peer->told;
   const Millis now = BootTimeNow();
   const control::RequestDigest digest = this->DigestOf(*call);
   const control::TargetEnd end{StableHash(target.instance, target.born),
@@ -70,6 +74,28 @@
   this->EndTrial(call, "target-ended");
 }
 
+void EntryCalls::NoteLeft(const CallPointer& call) {
+  const Millis now = BootTimeNow();
+  while (!this->left.empty() && (this->left.size() >= kMostLeft ||
+                                 now - this->left.front().at > kLeftLately)) {
+    this->left.pop_front();
+  }
+  if (call->peer != nullptr) {
+    this->left.push_back({call, call->peer, now});
+  }
+}
+
+void EntryCalls::OnEndAfterLeft(const PeerPointer& peer, std::uint32_t id) {
+  const auto known = std::find_if(
+      this->left.begin(), this->left.end(), [&peer, id](const LeftCall& left) {
+        return left.peer == peer && left.call->id == id;
+      });
+  if (known != this->left.end()) {
+    this->NoteTargetEnd(known->call, peer);
+    this->left.erase(known);
+  }
+}
+
 void EntryCalls::NoteWholeRun(const CallPointer& call) {
   if (this->MayBeBlamed(*call)) {
     this->blame.NoteWholeRun(this->DigestOf(*call));
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -72,6 +72,8 @@
   if (frame.is_last) {
     if (!frame.is_broken) {
       this->NoteWholeRun(call);
+    } else if (frame.is_target_ended) {
+      this->NoteTargetEnd(call, peer);
     }
     const CallerExchangePointer exchange = call->exchange;
     this->Finish(call);
@@ -188,6 +190,7 @@
          {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
   }
   this->DropAttempt(call);
+  this->NoteLeft(call);
   this->Finish(call);
 }
 
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -140,7 +140,8 @@
   Writer writer(FrameType::kData, out);
   writer.Put(frame.id);
   writer.PutByte(static_cast<std::uint8_t>((frame.is_last ? 1U : 0U) |
-                                           (frame.is_broken ? 2U : 0U)));
+                                           (frame.is_broken ? 2U : 0U) |
+                                           (frame.is_target_ended ? 4U : 0U)));
   writer.PutText(frame.body);
 }
 
@@ -150,6 +151,7 @@
   const std::uint8_t flags = in.TakeByte();
   frame.is_last = (flags & 1U) != 0;
   frame.is_broken = (flags & 2U) != 0;
+  frame.is_target_ended = (flags & 4U) != 0;
   in.TakeText(frame.body);
   return in.IsGood();
 }
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -21,6 +21,10 @@
 constexpr Millis kLeastLeft{5};
 /// A sweep that comes this late means that the host was suspended or starved.
 constexpr Millis kSuspended{500};
+/// A target that ends under a call does so within moments; calls that were
+/// cancelled while they ran are remembered for so long, and so many of them.
+constexpr Millis kLeftLately{500};
+constexpr std::size_t kMostLeft = 128;
 constexpr double kMicrosPerMilli = 1000;
 constexpr std::uint32_t kMisdirected = 421;
 constexpr std::uint32_t kServerError = 500;
@@ -246,16 +250,60 @@
   }
   for (const CallPointer& call : broken) {
     // Meanwhile it may have been given up, or its time was over.
-    if (call->is_running) {
-      this->EndRun(call);
+    if (!call->is_running) {
+      continue;
+    }
+    this->EndRun(call);
+    if (call->is_answering) {
+      this->BreakAnswer(call, has_ended);
+    } else {
       this->SendOutcome(
           call, CallOutcome::kBroken,
           has_ended ? CallReason::kTargetEnded : CallReason::kClosed);
     }
   }
+  if (has_ended) {
+    this->TellLeft();
+  }
   this->Fill(BootTimeNow());
 }
 
+/// Ends an answer of which its caller has got a part.
+void ServedCalls::BreakAnswer(const CallPointer& call, bool is_target_ended) {
+  DataFrame end;
+  end.id = call->id;
+  end.is_last = true;
+  end.is_broken = true;
+  end.is_target_ended = is_target_ended;
+  if (!call->is_abandoned || is_target_ended) {
+    this->events.on_part(call->link, end);
+  }
+}
+
+void ServedCalls::NoteLeft(Millis now, const CallPointer& call) {
+  this->left.push_back({call->link, call->id, now});
+  if (this->left.size() > kMostLeft) {
+    this->left.pop_front();
+  }
+}
+
+/// The entry nodes of calls that were cancelled just before the target's end
+/// still have to know what ran.
+void ServedCalls::TellLeft() {
+  const Millis now = BootTimeNow();
+  for (const LeftCall& call : this->left) {
+    if (now - call.at < kLeftLately) {
+      AnswerFrame answer;
+      answer.id = call.id;
+      answer.outcome = CallOutcome::kBroken;
+      answer.reason = CallReason::kTargetEnded;
+      this->TellLoad(answer);
+      this->events.on_answer(call.link, answer);
+    }
+  }
+  this->left.clear();
+}
+
 /// What the target is sent; takes the call's bytes.
 TargetRequest ServedCalls::MakeRequest(Call& call, Millis left) const {
   TargetRequest request;
@@ -328,10 +376,13 @@
                          const std::string& part,
                          bool is_last,
                          bool is_broken) {
+  if (is_broken) {
+    this->Break(call);
+    return;
+  }
   DataFrame frame;
   frame.id = call->id;
   frame.is_last = is_last;
-  frame.is_broken = is_broken;
   frame.body = part;
   if (is_last) {
     this->EndRun(call);
@@ -377,7 +428,7 @@
   ++(was_sent ? this->counters.broken : this->counters.not_sent);
   this->events.on_failed(call->request_id, reason, was_sent,
                          BootTimeNow() - call->arrived);
-  if (call->is_abandoned) {
+  if (call->is_abandoned && reason != CallReason::kTargetEnded) {
     return;
   }
   AnswerFrame answer;
@@ -400,6 +451,9 @@
     call->is_abandoned = true;
     return;
   }
+  if (call->is_running) {
+    this->NoteLeft(BootTimeNow(), call);
+  }
   TargetPool::Cancel(call->exchange);
   this->EndRun(call);
   this->Fill(BootTimeNow());
@@ -455,11 +509,7 @@
     TargetPool::Cancel(call->exchange);
     this->EndRun(call);
     if (call->is_answering) {
-      DataFrame end;
-      end.id = call->id;
-      end.is_last = true;
-      end.is_broken = true;
-      this->events.on_part(call->link, end);
+      this->BreakAnswer(call, false);
     } else {
       this->SendOutcome(call, CallOutcome::kBroken, CallReason::kClosed);
     }
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -14,6 +14,12 @@
 constexpr std::chrono::milliseconds kLook{5};
 constexpr std::chrono::milliseconds kReportTimeout{1000};
 
+std::int64_t SteadyMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 config::Endpoint Loopback(int port) {
   return {"127.0.0.1", static_cast<std::uint16_t>(port)};
 }
@@ -52,7 +58,7 @@
 void FakeInstance::Live() {
   std::chrono::steady_clock::time_point reported;
   while (!this->is_stopped) {
-    if (this->must_end) {
+    if (this->end_at != 0 && SteadyMillis() >= this->end_at) {
       this->EndAndComeBack();
       reported = {};
     }
@@ -80,7 +86,7 @@
     this->id = this->spec.id + "-" + std::to_string(number);
   }
   this->sequence = 0;
-  this->must_end = false;
+  this->end_at = 0;
   this->Serve();
 }
 
@@ -191,9 +197,16 @@
         kLook, until - std::chrono::steady_clock::now()));
   }
   if (is_deadly) {
-    this->must_end = true;
     --this->at_once;
-    reaction.hangs = true;
+    reaction.hangs = this->spec.deadly_body == 0;
+    if (!reaction.hangs) {
+      const auto sent = static_cast<std::size_t>(this->spec.deadly_body);
+      reaction.bytes = MakeAnswer(200, seal, std::string(2 * sent, 'b'));
+      reaction.bytes.resize(reaction.bytes.size() - sent);
+    }
+    // What was written has to go out first.
+    this->end_at =
+        SteadyMillis() + (reaction.hangs ? 0 : this->spec.ends_after_ms);
     return reaction;
   }
   const bool is_good = this->MakeCalls(request);
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -80,6 +80,8 @@
     IsDeadly is_deadly;
     int ends_after_ms = 20;
     int back_after_ms = 300;
+    /// Bytes of its answer that the caller of a deadly request gets before.
+    int deadly_body = 0;
   };
 
   explicit FakeInstance(Spec spec);
@@ -117,7 +119,8 @@
   std::atomic<int> work_ms;
   std::atomic<bool> reports{true};
   std::atomic<bool> is_stopped{false};
-  std::atomic<bool> must_end{false};
+  /// When it ends, on the steady clock; 0: not.
+  std::atomic<std::int64_t> end_at{0};
   std::atomic<int> ends{0};
   std::atomic<int> at_once{0};
   std::atomic<int> most_at_once{0};
--- a/test/process/relay_ends_test.cc
+++ b/test/process/relay_ends_test.cc
@@ -52,12 +52,14 @@
   static constexpr int kTargets = 4;
   RelayCluster cluster;
 
-  Portal(int port, const std::string& name) : cluster(port, name) {
+  Portal(int port, const std::string& name, int deadly_body = 0)
+      : cluster(port, name) {
     for (int i = 0; i < kTargets; ++i) {
       standins::FakeInstance::Spec spec =
           Spec("i-portal-" + std::to_string(i), "portal");
       spec.work_ms = 10;
       spec.is_deadly = IsDeadly;
+      spec.deadly_body = deadly_body;
       this->cluster.Add(spec, "zone-" + std::to_string(i % 3));
     }
     this->cluster.Add(Spec("i-front", "front"));
@@ -108,5 +110,93 @@
   REQUIRE(portal.LateRuns() <= kSendsLeft);
 }
 
+TEST_CASE("neither callers that leave nor answers under way hide it") {
+  Portal portal(28200, "ends-left");
+  const auto until = std::chrono::steady_clock::now() + 2 * kContact;
+  int number = 0;
+  while (std::chrono::steady_clock::now() < until) {
+    const int node = number % (Portal::kTargets + 1);
+    ++number;
+    // Leaves 10 ms before the target ends.
+    standins::BlockingHttp client(
+        {"127.0.0.1",
+         static_cast<std::uint16_t>(portal.cluster.CallerPort(node))},
+        std::chrono::milliseconds(10));
+    standins::PlainRequest request;
+    request.target = "/status/deadly";
+    request.headers["Host"] = "portal.example";
+    request.headers["Request-Id"] = "l" + std::to_string(number);
+    request.headers["Deadline-Ms"] = "5000";
+    client.Send(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  }
+  REQUIRE(portal.DeadlyRuns().size() >= 3);
+  REQUIRE(portal.LateRuns() <= kSendsLeft);
+}
+
+TEST_CASE("a target that ends in the middle of a long answer counts as well") {
+  Portal portal(28500, "ends-answer", 600 * 1024);
+  for (int i = 0; i < 40; ++i) {
+    portal.cluster.Call(i % 5, "portal.example", "/status/deadly",
+                        "d" + std::to_string(i));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  // Nothing of it is sent again by a node, so each end has a caller's attempt.
+  REQUIRE(portal.DeadlyRuns().size() == 3);
+}
+
+TEST_CASE("others are served meanwhile, and the same path with another body") {
+  Portal portal(28300, "ends-others");
+  std::atomic<bool> is_over{false};
+  std::thread guilty([&]() {
+    for (int i = 0; !is_over; ++i) {
+      portal.cluster.Call(i % 5, "portal.example", "/status/form",
+                          "g" + std::to_string(i), "POST", "deadly");
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  });
+  // Until a trial has proved it.
+  const bool is_proven = Soon([&]() {
+    return portal.cluster.Metrics(4).Sum("almondlink_refused_for_ends_total",
+                                         {}) > 0;
+  });
+  int whole = 0;
+  constexpr int kOthers = 100;
+  for (int i = 0; i < kOthers; ++i) {
+    const std::string id = "o" + std::to_string(i);
+    const PlainAnswer answer =
+        i % 2 == 0
+            ? portal.cluster.Call(i % 5, "portal.example", "/status/form", id,
+                                  "POST", id)
+            : portal.cluster.Call(i % 5, "portal.example", "/status/" + id, id);
+    whole += answer.status == 200 ? 1 : 0;
+  }
+  is_over = true;
+  guilty.join();
+  REQUIRE(is_proven);
+  REQUIRE(whole == kOthers);
+  REQUIRE(portal.DeadlyRuns().size() <= 3);
+}
+
+TEST_CASE("a node that starts anew is told by the others") {
+  Portal portal(28400, "ends-anew");
+  for (int i = 0; i < 6; ++i) {
+    portal.cluster.Call(i % 5, "portal.example", "/status/deadly",
+                        "d" + std::to_string(i));
+  }
+  const std::size_t before = portal.DeadlyRuns().size();
+  REQUIRE(before == 3);
+  for (int node = 0; node < 5; ++node) {
+    portal.cluster.Node(node).Kill();
+    portal.cluster.StartNode(node);
+    portal.cluster.WaitReady();
+    REQUIRE(portal.cluster
+                .Call(node, "portal.example", "/status/deadly",
+                      "n" + std::to_string(node))
+                .status == 503);
+  }
+  REQUIRE(portal.DeadlyRuns().size() == before);
+}
+
 }  // namespace
 }  // namespace almondlink::test
