What a trial has proved outlasts all nodes: a record in the platform's store

Callers: when all nodes are lost at once and the request comes again, its targets end anew, three of them, and more sends follow than the three that are left.

Cause: all that is known lies in the nodes.

Mend: the node whose trial ended its target writes one record, with the starts, the failed trials and the time; a later whole run drops it. Where the store is away at the start there is no policy either, and nothing is sent until both are read.

Test: all nodes killed at once, with the store there and away: 3 ends before, 3 after; on the code before nothing is written. A request waits for its trial for its latency target, in place of half of it: refused earlier it had nothing.

--- a/libs/relay/include/almondlink/relay/blame_exchange.h
+++ b/libs/relay/include/almondlink/relay/blame_exchange.h
@@ -35,6 +35,15 @@
   BlameExchange(const BlameExchange&) = delete;
   BlameExchange& operator=(const BlameExchange&) = delete;
 
+  /// Who keeps what a trial has proved where it outlasts all nodes: called by
+  /// the node that began the trial only. Each may be null.
+  void OnProof(std::function<void(const control::RequestDigest&,
+                                  const control::BlameRecord&)> on_guilty,
+               std::function<void(const control::RequestDigest&)> on_cleared);
+  /// Takes what was kept.
+  void Take(const control::RequestDigest& digest,
+            const control::BlameRecord& record);
+
   /// Whether nothing is known of any request with this path. Where it holds no
   /// digest is needed.
   bool IsBlank(std::uint64_t path) const;
@@ -88,6 +97,10 @@
   const RelaySettings& settings;
   PeerTable& peers;
   OnPermit on_permit;
+  std::function<void(const control::RequestDigest&,
+                     const control::BlameRecord&)>
+      on_guilty;
+  std::function<void(const control::RequestDigest&)> on_cleared;
   control::BlameTable table;
   /// Of the services that this node permits the trials of.
   control::TrialBook book;
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -35,6 +35,12 @@
   /// This start of the node has another number from now on, above one that
   /// another node has met.
   std::function<void(std::uint64_t incarnation)> on_incarnation;
+  /// A trial proved that the request ends targets, or a later one that it does
+  /// not: to be kept where it outlasts all nodes. Each may be null.
+  std::function<void(const control::RequestDigest& digest,
+                     const control::BlameRecord& record)>
+      on_guilty;
+  std::function<void(const control::RequestDigest& digest)> on_cleared;
 };
 
 /// Not thread safe: belongs to one loop.
@@ -66,6 +72,12 @@
   void OnLeave(const control::InstanceStart& start,
                std::function<void()> acknowledge);
 
+  /// Takes what was kept of a request that ended targets.
+  void TakeGuilty(const control::RequestDigest& digest,
+                  const control::BlameRecord& record) {
+    this->entry.Blame().Take(digest, record);
+  }
+
   /// Makes another node known. True if nothing was known of it.
   bool Learn(const NodeAddress& node) { return this->peers.Learn(node); }
   /// Makes nodes known to all others.
--- a/libs/relay/src/blame_exchange.cc
+++ b/libs/relay/src/blame_exchange.cc
@@ -47,6 +47,19 @@
       peers(peers_in),
       on_permit(std::move(on_permit_in)) {}
 
+void BlameExchange::OnProof(
+    std::function<void(const control::RequestDigest&,
+                       const control::BlameRecord&)> on_guilty_in,
+    std::function<void(const control::RequestDigest&)> on_cleared_in) {
+  this->on_guilty = std::move(on_guilty_in);
+  this->on_cleared = std::move(on_cleared_in);
+}
+
+void BlameExchange::Take(const control::RequestDigest& digest,
+                         const control::BlameRecord& record) {
+  control::MergeBlame(Rules(), BootTimeNow(), digest, record, this->table);
+}
+
 bool BlameExchange::IsBlank(std::uint64_t path) const {
   return !control::KnowsPath(path, this->table);
 }
@@ -71,14 +84,23 @@
   if (!control::NoteTargetEnd(Rules(), now, digest, end, this->table)) {
     return false;
   }
-  this->TellAll({{NewsOf(digest, this->table.records[digest], now)}});
+  const control::BlameRecord& record = this->table.records[digest];
+  this->TellAll({{NewsOf(digest, record, now)}});
+  if (end.is_on_trial && this->on_guilty) {
+    this->on_guilty(digest, record);
+  }
   return true;
 }
 
 bool BlameExchange::NoteWholeRun(const control::RequestDigest& digest) {
+  const control::BlameRecord* before = this->Find(digest);
+  const bool was_guilty = before != nullptr && before->failed_trials > 0;
   if (!control::NoteWholeRun(Rules(), BootTimeNow(), digest, this->table)) {
     return false;
   }
+  if (was_guilty && this->on_cleared) {
+    this->on_cleared(digest);
+  }
   BlameNews news;
   news.digest = digest;
   news.is_whole = true;
--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -17,10 +17,9 @@
 
 namespace {
 
-/// A request waits this part of its latency target for its trial, or for that
-/// of the same request sent by somebody else.
-constexpr std::int64_t kTrialWaitPart = 2;
-/// The least of that: an ask and one short run.
+/// A request waits for its trial, or for that of the same request sent by
+/// somebody else, for its latency target; for an ask and one short run at
+/// least.
 constexpr Millis kLeastTrialWait{200};
 /// Calls whose callers left are remembered for so long, and so many of them.
 constexpr Millis kLeftLately{1000};
@@ -130,8 +129,8 @@
     return false;
   }
   if (call->held_until == Millis{0}) {
-    const Millis wait{call->route->latency_target.count / kTrialWaitPart};
-    call->held_until = now + std::max(wait, kLeastTrialWait);
+    call->held_until =
+        now + std::max(call->route->latency_target, kLeastTrialWait);
   }
   if (verdict.step == control::BlameStep::kRefuse || now >= call->held_until) {
     this->RefuseBlamed(call, digest, verdict.wait);
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -57,6 +57,7 @@
       tick_timer(loop_in) {
   this->served.SetTargetAddress(this->settings.target_address);
   this->served.SetUsablePart(this->settings.decisions.usable_slots);
+  this->entry.Blame().OnProof(this->hooks.on_guilty, this->hooks.on_cleared);
 }
 
 RelayNode::~RelayNode() = default;
--- a/test/process/relay_ends_test.cc
+++ b/test/process/relay_ends_test.cc
@@ -40,6 +40,7 @@
 
 const std::vector<RouteSpec> kRoutes = {
     {"status", "portal.example", "/status/", "portal"},
+    {"once", "portal.example", "/once/", "portal", "unsafe"},
     {"front", "portal.example", "/front/", "front"}};
 
 bool IsDeadly(const FakeRequest& request) {
@@ -198,5 +199,67 @@
   REQUIRE(portal.DeadlyRuns().size() == before);
 }
 
+TEST_CASE("all nodes lost at once do not begin from nothing") {
+  Portal portal(28600, "ends-all");
+  for (int i = 0; i < 6; ++i) {
+    portal.cluster.Call(i % 5, "portal.example", "/status/deadly",
+                        "d" + std::to_string(i));
+  }
+  REQUIRE(portal.DeadlyRuns().size() == 3);
+  REQUIRE(
+      Soon([&]() { return portal.cluster.Store().Calls("/log-append") > 5; }));
+  const auto restart = [&]() {
+    for (int node = 0; node < 5; ++node) {
+      portal.cluster.Node(node).Kill();
+    }
+    for (int node = 0; node < 5; ++node) {
+      portal.cluster.StartNode(node);
+    }
+  };
+  const auto send = [&](const std::string& id) {
+    for (int node = 0; node < 5; ++node) {
+      REQUIRE(portal.cluster
+                  .Call(node, "portal.example", "/status/deadly",
+                        id + std::to_string(node))
+                  .status == 503);
+    }
+  };
+  restart();
+  portal.cluster.WaitReady();
+  send("a");
+  // With the store away nothing is known, and nothing is sent.
+  portal.cluster.Store().SetFaults(standins::StoreFault::kSilent);
+  restart();
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  send("b");
+  portal.cluster.Store().SetFaults(standins::StoreFault::kNone);
+  portal.cluster.WaitReady();
+  send("c");
+  REQUIRE(portal.DeadlyRuns().size() == 3);
+}
+
+TEST_CASE("what may run once only ends no more targets") {
+  Portal portal(28700, "ends-once");
+  for (int i = 0; i < 12; ++i) {
+    const PlainAnswer answer =
+        portal.cluster.Call(i % 5, "portal.example", "/once/deadly",
+                            "u" + std::to_string(i), "POST", "deadly");
+    REQUIRE((answer.status == 502 || answer.status == 503));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  const std::size_t runs = portal.DeadlyRuns().size();
+  REQUIRE(runs == 3);
+  int ran = 0;
+  for (int i = 0; i < 12; ++i) {
+    for (int target = 0; target < Portal::kTargets; ++target) {
+      const int times =
+          portal.cluster.Instance(target).RunsOf("u" + std::to_string(i));
+      REQUIRE(times <= 1);
+      ran += times;
+    }
+  }
+  REQUIRE(ran == 3);
+}
+
 }  // namespace
 }  // namespace almondlink::test
