Whole runs speak for a request only while targets end; trials go to the service they were permitted for

Found on reading: a popular request that was under way at one end had its record renewed by each whole run for good, with a digest for each request on its path and a word to all nodes each second. It is forgotten 10 s after the last end now. A permit could have begun with a call of the same content that a divided route had given to another service.

Tests: what is known ends with the ends of targets; a call that ends its target is held in place of the requests it is made for: 3 ends under 20 of them, 20 of 20 others with the same targets whole.

--- a/libs/control/include/almondlink/control/blame.h
+++ b/libs/control/include/almondlink/control/blame.h
@@ -47,6 +47,7 @@
   /// Those that ended while it was on trial.
   std::uint32_t failed_trials = 0;
   Millis first_end;
+  /// The last end that it was under way at, laid to it or not.
   Millis last_end;
   /// When a target last lived through a run of it; 0: none did.
   Millis whole_at;
@@ -75,6 +76,9 @@
   Millis whole_memory{5000};
   /// A whole run is told again after this.
   Millis whole_again{1000};
+  /// What speaks for a request is of use while targets end; so long after the
+  /// last one it is forgotten, and digests of that path are needed no more.
+  Millis quiet{10'000};
 };
 
 /// Plain data; one thread at a time.
--- a/libs/control/src/blame.cc
+++ b/libs/control/src/blame.cc
@@ -71,6 +71,7 @@
                    BlameTable& table) {
   BlameRecord& record = RecordOf(rules, digest, table);
   if (IsSpokenFor(rules, now, record)) {
+    record.last_end = now;
     return false;
   }
   if (record.starts.empty()) {
@@ -97,6 +98,7 @@
       !before.starts.empty() || now - before.whole_at >= rules.whole_again;
   if (is_news) {
     found->second = BlameRecord();
+    found->second.last_end = before.last_end;
     found->second.whole_at = now;
   }
   return is_news;
@@ -146,7 +148,7 @@
   for (auto entry = table.records.begin(); entry != table.records.end();) {
     const BlameRecord& record = entry->second;
     const bool is_old = record.starts.empty()
-                            ? !IsSpokenFor(rules, now, record)
+                            ? now - record.last_end > rules.quiet
                             : now - record.last_end > MemoryOf(rules, record);
     entry = is_old ? table.records.erase(entry) : std::next(entry);
   }
--- a/libs/control/tests/blame_test.cc
+++ b/libs/control/tests/blame_test.cc
@@ -63,7 +63,11 @@
   const Millis later = Millis{1} + kRules.whole_memory;
   REQUIRE(NoteTargetEnd(kRules, later, kDigest, {4, false}, table));
   NoteWholeRun(kRules, later, kDigest, table);
-  ForgetOldBlame(kRules, later + kRules.whole_memory, table);
+  // Its runs go on; what is known of it ends with the ends of targets.
+  NoteWholeRun(kRules, later + kRules.quiet, kDigest, table);
+  ForgetOldBlame(kRules, later + kRules.quiet, table);
+  REQUIRE(KnowsPath(kDigest.path, table));
+  ForgetOldBlame(kRules, later + kRules.quiet + Millis{1}, table);
   REQUIRE_FALSE(KnowsPath(kDigest.path, table));
 }
 
--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -171,29 +171,26 @@
                      wait > Millis{0} ? wait : this->RetryAfter(*call));
 }
 
-/// Begins the trial with the first of the calls that wait for it.
+/// Begins the trial with the first of the calls that wait for it there.
 void EntryCalls::OnTrialPermitted(const control::RequestDigest& digest,
                                   const std::string& node) {
-  const auto held =
-      std::find_if(this->waiting.begin(), this->waiting.end(),
-                   [this, &digest](const std::weak_ptr<Call>& entry) {
-                     const CallPointer call = entry.lock();
-                     return call != nullptr && call->held_as == digest &&
-                            this->calls.count(call->id) != 0;
-                   });
   const std::vector<PeerPointer>& all = this->peers.All();
   const auto place = std::find_if(
       all.begin(), all.end(),
       [&node](const PeerPointer& peer) { return peer->node.name == node; });
-  const bool can_begin =
-      held != this->waiting.end() && place != all.end() && IsOpen(**place);
-  if (!can_begin) {
-    const CallPointer call =
-        held == this->waiting.end() ? nullptr : held->lock();
-    const std::string service = call == nullptr && place != all.end()
-                                    ? (*place)->told.service
-                                : call == nullptr ? std::string()
-                                                  : call->service;
+  if (place == all.end()) {
+    // Permitted by a node that knows more: its permit runs out.
+    return;
+  }
+  const std::string& service = (*place)->told.service;
+  const auto held = std::find_if(
+      this->waiting.begin(), this->waiting.end(),
+      [this, &digest, &service](const std::weak_ptr<Call>& entry) {
+        const CallPointer call = entry.lock();
+        return call != nullptr && call->held_as == digest &&
+               call->service == service && this->calls.count(call->id) != 0;
+      });
+  if (held == this->waiting.end() || !IsOpen(**place)) {
     this->blame.EndTrial(digest, service);
     return;
   }
--- a/test/process/relay_ends_test.cc
+++ b/test/process/relay_ends_test.cc
@@ -238,6 +238,46 @@
   REQUIRE(portal.DeadlyRuns().size() == 3);
 }
 
+TEST_CASE(
+    "a call that ends its target is to blame, not the request it is for") {
+  RelayCluster cluster(28800, "ends-call");
+  const std::vector<RouteSpec> routes = {
+      {"status", "portal.example", "/status/", "portal"},
+      {"bad", "portal.example", "/bad/", "bad"},
+      {"good", "portal.example", "/good/", "good"}};
+  for (int i = 0; i < 4; ++i) {
+    standins::FakeInstance::Spec spec =
+        Spec("i-portal-" + std::to_string(i), "portal");
+    spec.is_deadly = IsDeadly;
+    cluster.Add(spec);
+  }
+  standins::FakeInstance::Spec bad = Spec("i-bad", "bad");
+  bad.calls = {{"portal.example", "/status/deadly"}};
+  cluster.Add(bad);
+  standins::FakeInstance::Spec good = Spec("i-good", "good");
+  good.calls = {{"portal.example", "/status/other"}};
+  cluster.Add(good);
+  cluster.Configure(1, routes);
+  cluster.WaitReady();
+  int whole = 0;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = std::to_string(i);
+    REQUIRE(cluster.Call(i % 6, "portal.example", "/bad/1", "b" + id).status !=
+            200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    whole +=
+        cluster.Call(i % 6, "portal.example", "/good/1", "g" + id).status == 200
+            ? 1
+            : 0;
+  }
+  int ends = 0;
+  for (int i = 0; i < 4; ++i) {
+    ends += cluster.Instance(i).Ends();
+  }
+  REQUIRE(ends == 3);
+  REQUIRE(whole == 20);
+}
+
 TEST_CASE("what may run once only ends no more targets") {
   Portal portal(28700, "ends-once");
   for (int i = 0; i < 12; ++i) {
