--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -10,6 +10,7 @@
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/wire/messages.generated.h"
+#include "platform/guilty_records.h"
 #include "platform/instance_reports.h"
 #include "platform/operator_config.h"
 #include "platform/store_client.h"
@@ -103,6 +104,10 @@
     FrameTrip<relay::WindowFrame>(frame->payload);
     FrameTrip<relay::QuotaAskFrame>(frame->payload);
     FrameTrip<relay::QuotaLoanFrame>(frame->payload);
+    FrameTrip<relay::BlameFrame>(frame->payload);
+    FrameTrip<relay::TrialAskFrame>(frame->payload);
+    FrameTrip<relay::TrialAnswerFrame>(frame->payload);
+    FrameTrip<relay::TrialOverFrame>(frame->payload);
     rest.remove_prefix(frame->size);
   }
 }
@@ -178,6 +183,18 @@
         return true;
       },
       [](const Failure&) { return false; });
+  HandleFailure(
+      [&]() -> Result<bool> {
+        almondlink::control::RequestDigest digest;
+        almondlink::control::BlameRecord blame;
+        BOOST_LEAF_CHECK(
+            platform::DecodeGuilty({"ends/1", text}, digest, blame));
+        if (blame.starts.size() > almondlink::control::kMostStartsKept) {
+          __builtin_trap();
+        }
+        return true;
+      },
+      [](const Failure&) { return false; });
   platform::NewestRead newest;
   platform::DecodeNewest(text, newest);
   platform::RecordsRead records;
