almondlink ends: lists the requests that are held, and lets go of one on all nodes

Each relay node lists what it holds on the port for metrics; a release goes to all nodes and drops the record in the store.

--- a/almondlink/node_commands.cc
+++ b/almondlink/node_commands.cc
@@ -76,14 +76,14 @@
   return kExitOk;
 }
 
-Result<int> Dump(const Arguments& arguments) {
+/// Prints what the node of --node answers. Errors: kBadSettings, kIo.
+Result<int> Ask(const std::string& method, const std::string& path) {
   BOOST_LEAF_CHECK(RequireFlag(FLAGS_node, "node"));
   BOOST_LEAF_AUTO(address, config::ParseEndpoint(FLAGS_node));
-  const std::string path =
-      arguments.empty() ? "/dump" : "/" + arguments.front();
   try {
     cxxtools::http::Client client(address.ip, address.port);
-    const cxxtools::http::Request request(path);
+    cxxtools::http::Request request(path);
+    request.method(method);
     const cxxtools::Milliseconds timeout(kAdminTimeoutMs);
     client.execute(request, timeout, timeout);
     client.readBody();
@@ -94,6 +94,20 @@
   }
 }
 
+Result<int> Dump(const Arguments& arguments) {
+  return Ask("GET", arguments.empty() ? "/dump" : "/" + arguments.front());
+}
+
+Result<int> Ends(const Arguments& arguments) {
+  if (arguments.empty()) {
+    return Ask("GET", "/ends");
+  }
+  if (arguments.size() != 2 || arguments.front() != "lift") {
+    return Fail(ErrorKind::kBadSettings, "ends [lift DIGEST] --node=METRICS");
+  }
+  return Ask("POST", "/ends/lift/" + arguments.back());
+}
+
 }  // namespace
 
 std::vector<Command> NodeCommands() {
@@ -105,6 +119,11 @@
       {"dump", "[metrics|health] --node=ADMIN",
        "Prints the whole state of a node as JSON, its metrics or its health.",
        Dump},
+      {"ends", "[lift DIGEST] --node=METRICS",
+       "Lists the requests that a relay node holds because targets ended "
+       "under\n"
+       "them, or lets go of one, on all nodes.",
+       Ends},
   };
 }
 
--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -177,6 +177,10 @@
 /// vain.
 constexpr Event kEventRefusedForEnds{629, Level::kInfo, "refused-for-ends",
                                      Volume::kBlame};
+/// The operator let go of a request that targets had ended under; it runs as
+/// any other.
+constexpr Event kEventBlameLifted{630, Level::kInfo, "blame-lifted",
+                                  Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/relay/include/almondlink/relay/blame_exchange.h
+++ b/libs/relay/include/almondlink/relay/blame_exchange.h
@@ -60,6 +60,14 @@
   /// A target lived through it; told to all. True if anything was known.
   bool NoteWholeRun(const control::RequestDigest& digest);
 
+  /// The operator lets go of the request with that digest, as a whole run
+  /// would; told to all. False if nothing is known of it here.
+  bool Lift(const std::string& digest);
+
+  /// A line for each request that is held, with a head: digest, ends, failed
+  /// trials, whether it is tried or refused, and milliseconds.
+  std::string ListHeld(Millis now) const;
+
   /// Asks for a trial, if it is time to.
   void AskTrial(const control::RequestDigest& digest,
                 const std::string& service,
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -78,6 +78,12 @@
     this->entry.Blame().Take(digest, record);
   }
 
+  /// See BlameExchange.
+  std::string ListHeld() { return this->entry.Blame().ListHeld(BootTimeNow()); }
+  bool LiftBlame(const std::string& digest) {
+    return this->entry.Blame().Lift(digest);
+  }
+
   /// Makes another node known. True if nothing was known of it.
   bool Learn(const NodeAddress& node) { return this->peers.Learn(node); }
   /// Makes nodes known to all others.
--- a/libs/relay/src/blame_exchange.cc
+++ b/libs/relay/src/blame_exchange.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
 
 namespace almondlink::relay {
@@ -108,6 +109,42 @@
   return true;
 }
 
+bool BlameExchange::Lift(const std::string& digest) {
+  const auto known =
+      std::find_if(this->table.records.begin(), this->table.records.end(),
+                   [&digest](const auto& entry) {
+                     return control::ToString(entry.first) == digest;
+                   });
+  if (known == this->table.records.end()) {
+    return false;
+  }
+  const control::RequestDigest lifted = known->first;
+  LogEvent(kEventBlameLifted,
+           {{"digest", digest},
+            {"ends", std::to_string(known->second.starts.size())},
+            {"failed_trials", std::to_string(known->second.failed_trials)}});
+  this->NoteWholeRun(lifted);
+  return true;
+}
+
+std::string BlameExchange::ListHeld(Millis now) const {
+  std::string text = "digest\tends\tfailed_trials\tstate\twait_ms\tage_ms\n";
+  for (const auto& [digest, record] : this->table.records) {
+    const control::BlameVerdict verdict = this->Judge(digest, now);
+    if (verdict.step == control::BlameStep::kGo) {
+      continue;
+    }
+    const bool is_refused = verdict.step == control::BlameStep::kRefuse;
+    text += control::ToString(digest) + "\t" +
+            std::to_string(record.starts.size()) + "\t" +
+            std::to_string(record.failed_trials) + "\t" +
+            (is_refused ? "refused" : "on-trial") + "\t" +
+            std::to_string(verdict.wait.count) + "\t" +
+            std::to_string((now - record.last_end).count) + "\n";
+  }
+  return text;
+}
+
 void BlameExchange::OnNews(const BlameFrame& frame) {
   const Millis now = BootTimeNow();
   for (const BlameNews& news : frame.news) {
--- a/test/process/relay_ends_test.cc
+++ b/test/process/relay_ends_test.cc
@@ -278,6 +278,44 @@
   REQUIRE(whole == 20);
 }
 
+TEST_CASE("the operator sees what is held, and lets go of it") {
+  Portal portal(28900, "ends-lift");
+  for (int i = 0; i < 4; ++i) {
+    portal.cluster.Call(i, "portal.example", "/status/deadly",
+                        "d" + std::to_string(i));
+  }
+  REQUIRE(portal.DeadlyRuns().size() == 3);
+  const auto run = [&](std::vector<std::string> words, int node,
+                       std::string& text) {
+    words.insert(words.begin(),
+                 std::string(ALMONDLINK_BUILD_DIR) + "/almondlink/almondlink");
+    words.push_back("--node=127.0.0.1:" +
+                    std::to_string(portal.cluster.MetricsPort(node)));
+    text.clear();
+    return RunCommand(words, text);
+  };
+  std::string text;
+  REQUIRE(run({"ends"}, 4, text) == 0);
+  REQUIRE(text.find("\t3\t1\trefused\t") != std::string::npos);
+  const std::size_t line = text.find('\n') + 1;
+  const std::string digest = text.substr(line, text.find('\t', line) - line);
+  REQUIRE(digest.size() == 32);
+  REQUIRE(run({"ends", "lift", "0"}, 4, text) != 0);
+  REQUIRE(run({"ends", "lift"}, 4, text) != 0);
+  REQUIRE(run({"ends", "lift", digest}, 4, text) == 0);
+  REQUIRE(Soon([&]() {
+    return run({"ends"}, 0, text) == 0 &&
+           text.find(digest) == std::string::npos;
+  }));
+  // The target was not mended.
+  REQUIRE(Soon([&]() {
+    return portal.cluster.Metric(0, "almondlink_open_targets") == 5;
+  }));
+  REQUIRE(portal.cluster.Call(0, "portal.example", "/status/deadly", "again")
+              .status == 502);
+  REQUIRE(portal.DeadlyRuns().size() > 3);
+}
+
 TEST_CASE("what may run once only ends no more targets") {
   Portal portal(28700, "ends-once");
   for (int i = 0; i < 12; ++i) {
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -121,6 +121,10 @@
   return this->PortOf(node, kPeerPort);
 }
 
+int RelayCluster::MetricsPort(int node) const {
+  return this->PortOf(node, kMetricsPort);
+}
+
 std::string RelayCluster::LogPath(int node) const {
   return this->folder + "/node-" + std::to_string(node) + ".log";
 }
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -110,6 +110,7 @@
   /// All of them, read strictly.
   MetricsText Metrics(int node);
   int CallerPort(int node) const { return this->PortOf(node, 0); }
+  int MetricsPort(int node) const;
 
   std::string SettingsPath(int node) const;
   std::string LogPath(int node) const;
