Ends of targets: a call that breaks after the end was known is resolved as well

Found on reading: a call whose connection closed while its target was already known to be gone would have waited for its deadline, since nothing was asked again. No way to it was found: no call runs when the end is judged, and none is sent after. Not shown by a test for that reason.

--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -169,7 +169,7 @@
       this->Break(open);
       return;
     }
-    if (reason == CallReason::kConnectFailed) {
+    if (reason == CallReason::kConnectFailed && !this->is_gone) {
       this->FindOut();
     }
     this->EndRun(open);
--- a/libs/relay/src/served_ends.cc
+++ b/libs/relay/src/served_ends.cc
@@ -25,7 +25,7 @@
 }
 
 void ServedCalls::FindOut() {
-  if (!this->is_finding_out && !this->is_gone) {
+  if (!this->is_finding_out) {
     this->is_finding_out = true;
     this->pool.WhenGone(
         [this](bool is_refused) { this->EndDoubt(is_refused); });
@@ -50,7 +50,7 @@
   const bool has_ended = this->IsEnd(is_refused);
   std::vector<CallPointer> broken;
   broken.swap(this->doubted);
-  if (has_ended) {
+  if (has_ended && !this->is_gone) {
     // Told first, so that nothing is sent here for want of better knowledge.
     this->is_gone = true;
     ++this->counters.target_ends;
