Trials: a call that waits for one belongs to no node any more

Found on reading: a call that was turned back or broke, and then waits for its trial, was still noted at the node it came from. That node's link lost meanwhile would have failed it a second time and put it twice among those that wait: two sends of a request that may be repeated, counted as one. A call that may run once ends there and is not sent. The window is a tenth of a second at an end; no test produces it. Besides: the trial of a long answer whose caller left is ended when the answer begins, in place of waiting until the target gives up.

--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -137,6 +137,11 @@
     return false;
   }
   call->held_as = digest;
+  if (call->peer != nullptr) {
+    // What becomes of that node from now on does not concern the call.
+    call->last_target = call->peer->told.instance;
+    Assign(call, nullptr);
+  }
   this->waiting.push_back(call);
   this->blame.AskTrial(digest, call->service, call->deadline - now, now);
   return false;
--- a/libs/relay/src/entry_ends.cc
+++ b/libs/relay/src/entry_ends.cc
@@ -15,6 +15,12 @@
 }  // namespace
 
 void EntryCalls::PassAnswer(const CallPointer& call, const AnswerFrame& frame) {
+  if (call->is_left && frame.has_more) {
+    // Nobody takes the rest, and it would wait to be taken.
+    this->DropAttempt(call);
+    this->Finish(call);
+    return;
+  }
   const double took = PreciseNow().count - call->started.count;
   this->counts.NoteAdded(LatencyMs{took - frame.work_us / kMicrosPerMilli});
   this->NoteEnd(*call,
