Ends of targets: only held requests stay with a silent node

Found on reading: a request that had been under way at one end, or that whole runs speak for, was not taken back from a node that fell silent, for up to ten minutes: its callers would have waited for the link to be given up (2.2 s). Only what is on trial or held stays. No test produces the two together.

--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -164,6 +164,7 @@
   /// The target answered the call, so it lived through it.
   void NoteWholeRun(const CallPointer& call);
   bool MayBeBlamed(const Call& call) const;
+  bool IsHeld(const Call& call) const;
   bool HasOpenTarget(const std::string& service);
   bool PassBlame(const CallPointer& call);
   void RefuseBlamed(const CallPointer& call,
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -381,10 +381,8 @@
 }
 
 void EntryCalls::MoveFromSuspect(const CallPointer& call) {
-  // What may have ended that target, or is tried there, is not taken elsewhere.
-  if (call->is_on_trial ||
-      (this->MayBeBlamed(*call) &&
-       this->blame.Find(this->DigestOf(*call)) != nullptr)) {
+  // What is tried there, or held by now, is not taken elsewhere.
+  if (call->is_on_trial || this->IsHeld(*call)) {
     return;
   }
   // The attempt that is out is given up only for one that can be made: where
--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -49,6 +49,13 @@
          !this->blame.IsBlank(PathHashOf(call.head.target));
 }
 
+/// Whether the request runs on trial only, or not at all.
+bool EntryCalls::IsHeld(const Call& call) const {
+  return this->MayBeBlamed(call) &&
+         this->blame.Judge(this->DigestOf(call), BootTimeNow()).step !=
+             control::BlameStep::kGo;
+}
+
 void EntryCalls::NoteTargetEnd(const CallPointer& call,
                                const PeerPointer& peer) {
   const StateFrame& target = peer->told;
