--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -23,7 +23,8 @@
 /// byte), close-header (after the first bytes of a request), close-run
 /// (runs, then closes without answering), close-skip (reads, closes without
 /// running), cut (half an answer), garbage, no-length, silent (runs, never
-/// answers), late=MS (answers after MS), extra (answers twice).
+/// answers), late=MS (answers after MS), extra[=MS] (answers twice, with a
+/// pause in between).
 
 DEFINE_string(ip, "127.0.0.1", "address to listen on");
 DEFINE_int32(port, 0, "port to listen on");
@@ -230,6 +231,7 @@
   const std::size_t count = fault == "cut" ? bytes.size() - 10 : bytes.size();
   asio::write(socket, asio::buffer(bytes.data(), count), error);
   if (fault == "extra") {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
     asio::write(socket, asio::buffer(bytes), error);
   }
   return !error && fault != "cut" && fault != "no-length" &&
