A target's answer is delivered by its attempt's id alone

What callers saw: the answer to another caller's request, where a target answers twice and the second answer comes after its connection was used again.

Cause: a connection to the target was taken for the next request as soon as an answer was whole and nothing stood behind it. HTTP/1.1 ties answers to requests by their order alone, so what the target still sends is read as the next answer.

Ruled out: a wait before reuse, or a ban after the first surplus answer. Both leave a window, which the pause of the test decides.

Change: each send carries an Almondlink-Attempt-Id, 16 random bytes, which the target returns. On a connection that was used before only the own id is delivered; another request's answer is dropped and the own one read, at most four of them; one without id fails as outcome-unknown. A connection is kept only after an answer with the own id. Targets that return none get a connection for each request, told by Connection: close, which is safe by construction; [target] reuse_without_id lets an operator vouch for one. Answers are read by AnswerReader, which knows no socket, so that every cut of the bytes is tested. Besides: an answer to HEAD has no body, a connection whose request was not written whole is not kept, and Close() closes idle connections.

E404 and E405 tell surplus answers and targets without ids; /metrics counts connects, reuses, answers without id and surplus.

--- a/almondlinkd/report.cc
+++ b/almondlinkd/report.cc
@@ -63,6 +63,10 @@
           {"refused", target.refused},
           {"keys", target.keys},
           {"connections", target.connections},
+          {"connects", target.client.connects},
+          {"reuses", target.client.reuses},
+          {"without_id", target.client.without_id},
+          {"surplus", target.client.surplus},
           {"calls", target.calls},
           {"target_time", ToTree(target.target_time)}};
 }
@@ -219,6 +223,14 @@
   WriteMetric(out, "queue_length", "", report.target.waiting);
   WriteMetric(out, "pressure_level", "",
               control::kRankCount - report.target.threshold);
+  WriteMetric(out, "target_connects_total", "",
+              static_cast<double>(report.target.client.connects));
+  WriteMetric(out, "target_reuses_total", "",
+              static_cast<double>(report.target.client.reuses));
+  WriteMetric(out, "target_answers_without_id_total", "",
+              static_cast<double>(report.target.client.without_id));
+  WriteMetric(out, "target_surplus_total", "",
+              static_cast<double>(report.target.client.surplus));
   WriteMetric(out, "gossip_sent_bytes_total", "",
               static_cast<double>(report.gossip.sent_bytes));
   WriteMetric(out, "claim_appends_total", "",
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "almondlink/base/event_log.h"
-#include "almondlink/server/target_client.h"
 #include "almondlinkd/at_most_once.h"
 #include "almondlinkd/classify.h"
 #include "almondlinkd/target_call.h"
@@ -124,6 +123,7 @@
     report.refused = this->refused;
     report.keys = this->keys->Size();
     report.connections = this->client.ConnectionCount();
+    report.client = this->client.Counts();
     report.calls = this->calls.size();
     report.target_time = this->target_time.Summary();
     return report;
@@ -139,6 +139,7 @@
     config.connect_timeout = settings.target.connect_timeout;
     config.max_body = static_cast<std::size_t>(settings.node.max_body);
     config.max_header = static_cast<std::size_t>(settings.node.max_header);
+    config.needs_no_id = settings.target.reuse_without_id;
     return config;
   }
 
@@ -301,6 +302,11 @@
       return;
     }
     const TargetCallPointer target_call = found->second;
+    if (result.foreign > 0) {
+      LogEvent(kEventTargetSurplus,
+               {{"dropped", std::to_string(result.foreign)},
+                {"error", AnswerFor(result.error).name}});
+    }
     const LatencyMs took{PreciseNow().count - target_call->sent.count};
     wire::Answer answer = MakeAnswer(std::move(result));
     answer.target_us = static_cast<std::uint64_t>(took.count * kMicrosPerMilli);
--- a/almondlinkd/target_side.h
+++ b/almondlinkd/target_side.h
@@ -10,6 +10,7 @@
 #include "almondlink/control/admission.h"
 #include "almondlink/mesh/peer_server.h"
 #include "almondlink/record_log/claim_writer.h"
+#include "almondlink/server/target_client.h"
 #include "almondlinkd/shared_state.h"
 
 namespace almondlink::daemon {
@@ -27,6 +28,7 @@
   std::uint64_t refused = 0;
   std::size_t keys = 0;
   std::size_t connections = 0;
+  server::TargetClientCounts client;
   std::size_t calls = 0;
   LatencySummary target_time;
 };
--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -68,6 +68,15 @@
 /// The target answered what is not HTTP/1.1 with a length.
 constexpr Event kEventTargetProtocol{403, Level::kWarning, "target-protocol",
                                      Volume::kRare};
+/// The target sent answers that are not of the request under way, `dropped` of
+/// them; nobody got them, and the connection is closed. `error` is what became
+/// of the request.
+constexpr Event kEventTargetSurplus{404, Level::kWarning, "target-surplus",
+                                    Volume::kRefused};
+/// The target did not return Almondlink-Attempt-Id; each request gets a
+/// connection of its own until it does.
+constexpr Event kEventTargetWithoutId{405, Level::kInfo, "target-without-id",
+                                      Volume::kRefused};
 /// Recording of a trace started.
 constexpr Event kEventTraceOn{500, Level::kInfo, "trace-on", Volume::kRare};
 /// It ended.
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -58,6 +58,11 @@
   Millis connect_timeout;
   /// Time over which a fresh target's limit grows to its slots.
   Millis slow_start;
+  /// Keeps connections to a target that does not return Almondlink-Attempt-Id.
+  /// If such a target ever answers twice, late or with more bytes than it
+  /// states, another caller can get that answer: only for targets that are
+  /// known never to.
+  bool reuse_without_id;
 };
 
 /// Section [mesh]: Links between nodes.
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -43,6 +43,8 @@
        SettingSlot{&settings.target.connect_timeout}},
       {"target", "slow_start", "3s", 0.0, 600000.0,
        SettingSlot{&settings.target.slow_start}},
+      {"target", "reuse_without_id", "false", 0.0, 1000000000000000.0,
+       SettingSlot{&settings.target.reuse_without_id}},
       {"mesh", "key_file", "", 0.0, 1000000000000000.0,
        SettingSlot{&settings.mesh.key_file}},
       {"mesh", "seeds", "", 0.0, 1000000000000000.0,
--- a/libs/server/include/almondlink/server/http_types.h
+++ b/libs/server/include/almondlink/server/http_types.h
@@ -25,6 +25,8 @@
 constexpr const char* kRetriesHeader = "Almondlink-Retries";
 constexpr const char* kTraceParentHeader = "traceparent";
 constexpr const char* kKeyHeader = "Idempotency-Key";
+/// Id of one send of a request to a target, which returns it with the answer.
+constexpr const char* kAttemptIdHeader = "Almondlink-Attempt-Id";
 /// Set by a caller that repeats an at-most-once call whose outcome it does not
 /// know.
 constexpr const char* kRepeatHeader = "Almondlink-Repeat";
--- a/libs/server/include/almondlink/server/target_client.h
+++ b/libs/server/include/almondlink/server/target_client.h
@@ -33,6 +33,8 @@
   std::uint32_t status = 0;
   Headers headers;
   Body body;
+  /// Answers of other requests that came on the connection and were dropped.
+  std::uint32_t foreign = 0;
 };
 
 using TargetHandler = std::function<void(TargetAnswer)>;
@@ -45,12 +47,27 @@
   Millis connect_timeout{1000};
   std::size_t max_body = 1024 * 1024;
   std::size_t max_header = 16 * 1024;
+  /// Keeps connections to a target that does not return attempt ids.
+  bool needs_no_id = false;
+};
+
+/// What happened since the start.
+struct TargetClientCounts {
+  std::uint64_t connects = 0;
+  std::uint64_t reuses = 0;
+  /// Answers that came without an attempt id.
+  std::uint64_t without_id = 0;
+  /// Answers of other requests, and idle connections with bytes that nobody
+  /// had asked for.
+  std::uint64_t surplus = 0;
 };
 
 /// HTTP/1.1 client to the one target beside this node. A connection carries one
-/// request at a time and is used again only after a whole answer with nothing
-/// behind it; one whose answer timed out, was cut or is not valid is closed, so
-/// no answer can reach another request. All methods are called on the thread of
+/// request at a time and is used again only after a whole answer with its
+/// request's attempt id and nothing behind it; one whose answer timed out, was
+/// cut or is not valid is closed. Targets that do not return the id get a
+/// connection for each request. So no answer can reach another request, see
+/// almondlink/control/answer_match.h. All methods are called on the thread of
 /// its loop.
 class TargetClient {
  public:
@@ -69,6 +86,8 @@
   /// Connections that are open or being opened.
   std::size_t ConnectionCount() const;
 
+  TargetClientCounts Counts() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl;
--- a/libs/server/src/target_client.cc
+++ b/libs/server/src/target_client.cc
@@ -1,5 +1,8 @@
 #include "almondlink/server/target_client.h"
 
+#include <sodium.h>
+
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +12,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "almondlink/base/event_log.h"
+#include "answer_reader.h"
 #include "beast_http.h"
 
 namespace almondlink::server {
@@ -20,15 +25,19 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-using Parser = http::response_parser<http::vector_body<std::uint8_t>>;
 using Request = http::request<http::vector_body<std::uint8_t>>;
 
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kAttemptIdBytes = 16;
+
 /// One connection to the target.
 struct Connection {
   explicit Connection(asio::io_context& loop) : socket(loop) {}
   tcp::socket socket;
   beast::flat_buffer buffer;
   bool is_idle = false;
+  /// No request was sent on it yet.
+  bool is_fresh = true;
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -38,26 +47,27 @@
   explicit Exchange(asio::io_context& loop) : timer(loop) {}
   std::uint64_t id = 0;
   Request request;
-  std::optional<Parser> parser;
+  std::optional<AnswerReader> reader;
   ConnectionPointer connection;
   asio::steady_timer timer;
   Millis timeout;
   /// From here on the target may have run the request.
   bool is_handed_over = false;
+  bool is_written = false;
   bool is_fresh_needed = false;
   TargetHandler on_answer;
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
-ErrorKind KindOf(beast::error_code error) {
-  if (error == http::error::body_limit || error == http::error::header_limit) {
-    return ErrorKind::kAnswerTooLarge;
-  }
-  const bool is_cut = error == http::error::end_of_stream ||
-                      error == http::error::partial_message;
-  return IsHttpError(error) && !is_cut ? ErrorKind::kTargetBadAnswer
-                                       : ErrorKind::kTargetLost;
+/// Not to be guessed: a caller that can choose bytes of an answer must not be
+/// able to write one for another request.
+std::string MakeAttemptId() {
+  std::array<unsigned char, kAttemptIdBytes> bytes{};
+  randombytes_buf(bytes.data(), bytes.size());
+  std::array<char, 2 * kAttemptIdBytes + 1> text{};
+  sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+  return text.data();
 }
 
 }  // namespace
@@ -77,6 +87,9 @@
     exchange->on_answer = std::move(on_answer);
     Fill(std::move(request), exchange->request);
     exchange->request.set(http::field::host, this->config.address.Text());
+    exchange->request.set(kAttemptIdHeader, MakeAttemptId());
+    // Told, a target need not keep a connection that is not used again.
+    exchange->request.keep_alive(this->returns_id || this->config.needs_no_id);
     this->exchanges[exchange->id] = exchange;
     this->StartTimer(exchange, exchange->timeout);
     this->Start(exchange);
@@ -96,6 +109,7 @@
   }
 
   std::size_t ConnectionCount() const { return this->connections; }
+  TargetClientCounts Counts() const { return this->counts; }
 
   void Close() {
     this->is_closed = true;
@@ -104,7 +118,8 @@
       this->Discard(exchange);
     }
     this->exchanges.clear();
-    this->idle.clear();
+    while (this->DropIdle()) {
+    }
   }
 
  private:
@@ -116,7 +131,6 @@
       request.insert(header.name, header.value);
     }
     request.body() = std::move(from.body);
-    request.keep_alive(true);
     const bool has_body = !request.body().empty() || from.method == "POST" ||
                           from.method == "PUT" || from.method == "PATCH";
     if (has_body) {
@@ -152,6 +166,11 @@
       beast::error_code ignored;
       // Ends the watch for a close by the target.
       connection->socket.cancel(ignored);
+      if (connection->socket.available(ignored) > 0) {
+        this->DropSurplus(*connection);
+        continue;
+      }
+      ++this->counts.reuses;
       exchange->connection = connection;
       this->Write(exchange);
       return;
@@ -166,6 +185,7 @@
       return;
     }
     ++this->connections;
+    ++this->counts.connects;
     exchange->connection = std::make_shared<Connection>(this->loop);
     const Millis wait =
         std::min(exchange->timeout, this->config.connect_timeout);
@@ -210,63 +230,75 @@
 
   void Write(const ExchangePointer& exchange) {
     exchange->is_handed_over = true;
+    this->ExpectAnswer(exchange);
     http::async_write(exchange->connection->socket, exchange->request,
                       [self = this->shared_from_this(), exchange](
-                          beast::error_code, std::size_t) {
+                          beast::error_code error, std::size_t) {
                         // After a failed write too: the target may have
                         // answered early and closed, and its answer, if any,
                         // tells more than the error.
                         if (self->IsLive(exchange)) {
+                          exchange->is_written = !error;
                           self->Read(exchange);
                         }
                       });
   }
 
+  void ExpectAnswer(const ExchangePointer& exchange) {
+    ExpectedAnswer expected;
+    expected.id = std::string(exchange->request[kAttemptIdHeader]);
+    expected.is_to_head = exchange->request.method() == http::verb::head;
+    expected.trust.is_fresh = exchange->connection->is_fresh;
+    expected.trust.needs_no_id = this->config.needs_no_id;
+    const AnswerLimits limits{this->config.max_header, this->config.max_body};
+    exchange->reader.emplace(std::move(expected), limits);
+    exchange->connection->is_fresh = false;
+  }
+
   void Read(const ExchangePointer& exchange) {
-    exchange->parser.emplace();
-    exchange->parser->header_limit(
-        static_cast<std::uint32_t>(this->config.max_header));
-    exchange->parser->body_limit(this->config.max_body);
-    http::async_read(exchange->connection->socket, exchange->connection->buffer,
-                     *exchange->parser,
-                     [self = this->shared_from_this(), exchange](
-                         beast::error_code error, std::size_t) {
-                       if (self->IsLive(exchange)) {
-                         self->OnRead(exchange, error);
-                       }
-                     });
+    Connection& connection = *exchange->connection;
+    connection.socket.async_read_some(
+        connection.buffer.prepare(kReadSize),
+        [self = this->shared_from_this(), exchange](beast::error_code error,
+                                                    std::size_t count) {
+          if (self->IsLive(exchange)) {
+            self->OnRead(exchange, error, count);
+          }
+        });
   }
 
-  void OnRead(const ExchangePointer& exchange, beast::error_code error) {
+  void OnRead(const ExchangePointer& exchange,
+              beast::error_code error,
+              std::size_t count) {
     if (error) {
-      this->Finish(exchange, KindOf(error));
+      this->Finish(exchange, ErrorKind::kTargetLost);
       return;
     }
-    const auto& message = exchange->parser->get();
-    if (message.result_int() < 200) {
-      this->Read(exchange);
-      return;
+    beast::flat_buffer& buffer = exchange->connection->buffer;
+    buffer.commit(count);
+    switch (exchange->reader->Feed(buffer)) {
+      case ReadStep::kNeedMore:
+        this->Read(exchange);
+        return;
+      case ReadStep::kFailed:
+        this->Finish(exchange, exchange->reader->Fault());
+        return;
+      case ReadStep::kDone:
+        this->Succeed(exchange);
+        return;
     }
-    // Without a length only the close would end the body, and a cut answer
-    // could not be told from a whole one.
-    if (message.need_eof()) {
-      this->Finish(exchange, ErrorKind::kTargetBadAnswer);
-      return;
-    }
-    const bool is_reusable = message.keep_alive() &&
-                             exchange->connection->buffer.size() == 0 &&
-                             !exchange->is_fresh_needed;
-    this->Succeed(exchange, is_reusable);
   }
 
-  void Succeed(const ExchangePointer& exchange, bool is_reusable) {
-    auto message = exchange->parser->release();
-    TargetAnswer answer;
-    answer.status = message.result_int();
-    answer.headers = TakeHeaders(message);
-    answer.body = std::move(message.body());
+  void Succeed(const ExchangePointer& exchange) {
     this->exchanges.erase(exchange->id);
     exchange->timer.cancel();
+    this->NoteAnswer(*exchange);
+    const bool is_over = exchange->connection->buffer.size() > 0;
+    this->counts.surplus += is_over ? 1 : 0;
+    const bool is_reusable = exchange->reader->MayFollow() && !is_over &&
+                             exchange->is_written && !exchange->is_fresh_needed;
+    TargetAnswer answer = exchange->reader->Take();
+    answer.foreign = exchange->reader->Foreign();
     if (is_reusable) {
       this->KeepIdle(exchange->connection);
     } else {
@@ -275,6 +307,18 @@
     exchange->on_answer(std::move(answer));
   }
 
+  /// Learns from each answer whether the target returns ids: it may be replaced
+  /// by one that does, or does not.
+  void NoteAnswer(const Exchange& exchange) {
+    const bool has_id = exchange.reader->HasOwnId();
+    this->counts.without_id += has_id ? 0 : 1;
+    this->counts.surplus += exchange.reader->Foreign();
+    if (this->returns_id && !has_id) {
+      LogEvent(kEventTargetWithoutId);
+    }
+    this->returns_id = has_id;
+  }
+
   void KeepIdle(const ConnectionPointer& connection) {
     connection->is_idle = true;
     this->idle.push_back(connection);
@@ -284,17 +328,29 @@
           // Readable while idle: closed, or bytes that nobody asked for.
           if (!error && connection->is_idle && !self->is_closed) {
             connection->is_idle = false;
-            self->CloseConnection(*connection);
+            self->DropSurplus(*connection);
           }
         });
   }
 
+  /// Closes a connection on which the target closed or sent what nobody asked
+  /// for.
+  void DropSurplus(Connection& connection) {
+    beast::error_code ignored;
+    this->counts.surplus += connection.socket.available(ignored) > 0 ? 1 : 0;
+    this->CloseConnection(connection);
+  }
+
   void Finish(const ExchangePointer& exchange, ErrorKind kind) {
     this->exchanges.erase(exchange->id);
     exchange->timer.cancel();
     this->Discard(exchange);
     TargetAnswer answer;
     answer.error = kind;
+    if (exchange->reader.has_value()) {
+      answer.foreign = exchange->reader->Foreign();
+      this->counts.surplus += answer.foreign;
+    }
     exchange->on_answer(std::move(answer));
   }
 
@@ -323,6 +379,10 @@
   const tcp::endpoint where;
   std::uint64_t last_id = 0;
   std::size_t connections = 0;
+  TargetClientCounts counts;
+  /// Whether the last answer came with its request's attempt id; believed of
+  /// the first one.
+  bool returns_id = true;
   bool is_closed = false;
   std::unordered_map<std::uint64_t, ExchangePointer> exchanges;
   std::deque<ConnectionPointer> idle;
@@ -349,4 +409,8 @@
   return this->impl->ConnectionCount();
 }
 
+TargetClientCounts TargetClient::Counts() const {
+  return this->impl->Counts();
+}
+
 }  // namespace almondlink::server
--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -24,7 +24,8 @@
 /// (runs, then closes without answering), close-skip (reads, closes without
 /// running), cut (half an answer), garbage, no-length, silent (runs, never
 /// answers), late=MS (answers after MS), extra[=MS] (answers twice, with a
-/// pause in between).
+/// pause in between). With ,no-id behind it the target does not return the
+/// attempt ids of requests.
 
 DEFINE_string(ip, "127.0.0.1", "address to listen on");
 DEFINE_int32(port, 0, "port to listen on");
@@ -64,6 +65,7 @@
   int busy = 0;
   std::string fault = "none";
   int fault_ms = 0;
+  bool returns_ids = true;
   std::vector<std::string> ledger;
 };
 
@@ -143,6 +145,10 @@
 Response Plain(const Request& request, http::status status, std::string body) {
   Response response(status, 11);
   response.set("Content-Type", "text/plain");
+  const auto id = request.find("Almondlink-Attempt-Id");
+  if (id != request.end()) {
+    response.set("Almondlink-Attempt-Id", id->value());
+  }
   response.body() = std::move(body);
   response.keep_alive(request.keep_alive());
   response.prepare_payload();
@@ -159,7 +165,10 @@
     }
     return Plain(request, http::status::ok, text);
   }
-  const std::string spec = target.substr(target.find('?') + 1);
+  std::string spec = target.substr(target.find('?') + 1);
+  const std::size_t comma = spec.find(",no-id");
+  state.returns_ids = comma == std::string::npos;
+  spec = spec.substr(0, comma);
   const std::size_t equals = spec.find('=');
   state.fault = spec.substr(0, equals);
   state.fault_ms =
@@ -282,6 +291,9 @@
       const std::lock_guard<std::mutex> guard(state.mutex);
       fault = state.fault;
       ms = state.fault_ms;
+      if (!state.returns_ids) {
+        request.erase("Almondlink-Attempt-Id");
+      }
     }
     if (!ServeFaulty(state, socket, request, fault, ms)) {
       return;
--- a/test/process/second_answer_test.cc
+++ b/test/process/second_answer_test.cc
@@ -71,6 +71,14 @@
   CheckPairs(shop, "");
 }
 
+TEST_CASE("a target that returns no ids gets a connection for each request") {
+  Shop shop(23860, "second-answer-no-id");
+  CheckPairs(shop, ",no-id");
+  const nlohmann::json target = shop.cluster.Dump(*shop.shop)["target"];
+  REQUIRE(target["without_id"] == target["connects"]);
+  REQUIRE(target["reuses"] == 0);
+}
+
 TEST_CASE("many callers of a target that answers all twice get their own") {
   Shop shop(23830, "second-answer-many");
   constexpr int kCallers = 8;
