--- a/standins/fake_server.cc
+++ b/standins/fake_server.cc
@@ -94,6 +94,11 @@
       boost::asio::write(connection.socket, boost::asio::buffer(reaction.bytes),
                          error);
     }
+    if (!reaction.late_bytes.empty()) {
+      std::this_thread::sleep_for(reaction.pause);
+      boost::asio::write(connection.socket,
+                         boost::asio::buffer(reaction.late_bytes), error);
+    }
     if (reaction.resets) {
       connection.socket.set_option(boost::asio::socket_base::linger(true, 0),
                                    error);
--- a/standins/fake_server.h
+++ b/standins/fake_server.h
@@ -21,6 +21,9 @@
 struct Reaction {
   /// Written as it is; empty writes nothing.
   std::string bytes;
+  /// Written after a pause.
+  std::string late_bytes;
+  std::chrono::milliseconds pause{0};
   /// Close afterwards; with `resets` by a reset instead of a proper end.
   bool closes = false;
   bool resets = false;
