Relay links: a frame that cannot be decoded ends its link, with a line

What callers saw: a cut answer was passed over, and its call waited for the whole of its time. A cut question for a policy, list of nodes, quota ask or loan, cancel, window or report number was dropped without a word.

Change: who reads a frame says whether it could be decoded, and one place for each direction logs E304 with the type and gives the link up. Types that are not known are passed over as before: a newer node may send them. An accepted link that was refused is also taken out of the table, where cut calls left it.

--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -82,10 +82,11 @@
 using PeerPointer = std::shared_ptr<Peer>;
 
 struct PeerEvents {
-  /// An answer or a part of one, on a dialled link.
-  std::function<void(const PeerPointer&, const RawFrame&)> on_answer;
-  /// A call, cancel or window frame on an accepted link.
-  std::function<void(const PeerLinkPointer&, const RawFrame&)> on_call;
+  /// Any other frame on a dialled link: an answer, a part of one. False if it
+  /// is of a known type and cannot be decoded; the link is given up then.
+  std::function<bool(const PeerPointer&, const RawFrame&)> on_answer;
+  /// Any other frame on an accepted link: a call, its cancel. False as above.
+  std::function<bool(const PeerLinkPointer&, const RawFrame&)> on_call;
   std::function<void(LinkId)> on_accepted_closed;
   std::function<void(const PeerPointer&)> on_lost;
   /// The node became suspect.
@@ -189,11 +190,16 @@
   void AcceptLater();
   void Dial(Millis now, const PeerPointer& peer);
   void Adopt(const PeerPointer& peer, boost::asio::ip::tcp::socket socket);
+  // False: the frame cannot be decoded.
+  bool TakeDialledFrame(const PeerPointer& peer, const RawFrame& frame);
+  bool TakeAcceptedFrame(const PeerLinkPointer& link, const RawFrame& frame);
   void OnDialledFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnAcceptedFrame(const PeerLinkPointer& link, const RawFrame& frame);
+  bool OnDialledHello(const PeerPointer& peer, std::string_view payload);
+  bool OnAcceptedHello(const PeerLinkPointer& link, std::string_view payload);
   bool OnHello(const HelloFrame& hello);
-  void OnState(const PeerPointer& peer, std::string_view payload);
-  void OnLoad(const PeerPointer& peer, std::string_view payload);
+  bool OnState(const PeerPointer& peer, std::string_view payload);
+  bool OnLoad(const PeerPointer& peer, std::string_view payload);
   void RememberLeaving(const PeerPointer& peer);
   static void NoteStart(std::uint64_t incarnation, Peer& peer);
   void TellState(AcceptedLink& entry);
@@ -203,10 +209,10 @@
   void SendHello(PeerLink& link, const std::string& to);
   void PushPolicy(Millis now, const PeerPointer& peer);
   void AskForPolicy(Millis now);
-  void OnWantPolicy(const PeerLinkPointer& link, std::string_view payload);
-  void OnPolicy(const PeerPointer& peer, std::string_view payload);
-  void OnVersion(const PeerPointer& peer, std::string_view payload);
-  void OnNodes(std::string_view payload);
+  bool OnWantPolicy(const PeerLinkPointer& link, std::string_view payload);
+  bool OnPolicy(const PeerPointer& peer, std::string_view payload);
+  bool OnVersion(const PeerPointer& peer, std::string_view payload);
+  bool OnNodes(std::string_view payload);
   void ServePolicy();
   void TellVersion();
   void ForgetLost(Millis now);
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -139,9 +139,10 @@
   PeerEvents PeerHooks();
   ServedEvents ServedHooks();
   StateFrame MakeState();
-  void OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
-  void OnBlameFrame(const PeerLinkPointer& link, const RawFrame& frame);
-  void OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
+  // False: the frame is of a known type and cannot be decoded.
+  bool OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
+  bool OnBlameFrame(const PeerLinkPointer& link, const RawFrame& frame);
+  bool OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnState(const PeerPointer& peer);
   void AcknowledgeLeave(std::function<void()> acknowledge);
   void RunAcks(Millis now, const std::optional<ReportNumber>& seen);
--- a/libs/relay/src/frame_dispatch.cc
+++ b/libs/relay/src/frame_dispatch.cc
@@ -1,20 +1,17 @@
 #include <algorithm>
 
-#include "almondlink/base/event_log.h"
 #include "almondlink/relay/relay_node.h"
 
 /// Where the frames of other nodes go.
 namespace almondlink::relay {
 
-void RelayNode::OnCallFrame(const PeerLinkPointer& link,
+bool RelayNode::OnCallFrame(const PeerLinkPointer& link,
                             const RawFrame& frame) {
   switch (frame.type) {
     case FrameType::kCall: {
       CallFrame call;
       if (!Decode(frame.payload, call)) {
-        link->Close();
-        this->served.OnLinkClosed(link->Id());
-        return;
+        return false;
       }
       const std::int64_t offset =
           BootTimeNow().count - static_cast<std::int64_t>(call.sent_ms);
@@ -25,42 +22,44 @@
       this->served.OnCall(
           link->Id(), call,
           this->settings.decisions.has_held_frames ? held : Millis{0});
-      return;
+      return true;
     }
     case FrameType::kCancel: {
       std::uint32_t id = 0;
-      if (DecodeCancel(frame.payload, id)) {
-        this->served.OnCancel(link->Id(), id);
+      if (!DecodeCancel(frame.payload, id)) {
+        return false;
       }
-      return;
+      this->served.OnCancel(link->Id(), id);
+      return true;
     }
     case FrameType::kWindow: {
       WindowFrame window;
-      if (Decode(frame.payload, window)) {
-        this->served.OnWindow(link->Id(), window.id, window.bytes);
+      if (!Decode(frame.payload, window)) {
+        return false;
       }
-      return;
+      this->served.OnWindow(link->Id(), window.id, window.bytes);
+      return true;
     }
     case FrameType::kQuotaAsk: {
       QuotaAskFrame ask;
-      if (Decode(frame.payload, ask)) {
-        this->entry.Quotas().OnAsk(link, ask);
+      if (!Decode(frame.payload, ask)) {
+        return false;
       }
-      return;
+      this->entry.Quotas().OnAsk(link, ask);
+      return true;
     }
     case FrameType::kBlame:
     case FrameType::kTrialAsk:
     case FrameType::kTrialOver:
-      this->OnBlameFrame(link, frame);
-      return;
+      return this->OnBlameFrame(link, frame);
     default:
       // A newer node's frame; it does without an answer.
-      return;
+      return true;
   }
 }
 
 /// What other nodes know of requests that targets ended under, and ask for.
-void RelayNode::OnBlameFrame(const PeerLinkPointer& link,
+bool RelayNode::OnBlameFrame(const PeerLinkPointer& link,
                              const RawFrame& frame) {
   BlameExchange& blame = this->entry.Blame();
   BlameFrame news;
@@ -74,33 +73,47 @@
              Decode(frame.payload, over)) {
     blame.OnOver(over);
   } else {
-    LogEvent(kEventPeerRefused, {{"reason", "a frame of blame is cut"}});
-    link->Close();
-    this->served.OnLinkClosed(link->Id());
+    return false;
   }
+  return true;
 }
 
-void RelayNode::OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame) {
-  if (frame.type == FrameType::kAnswer) {
-    AnswerFrame answer;
-    if (Decode(frame.payload, answer)) {
+bool RelayNode::OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame) {
+  switch (frame.type) {
+    case FrameType::kAnswer: {
+      AnswerFrame answer;
+      if (!Decode(frame.payload, answer)) {
+        return false;
+      }
       this->entry.OnAnswer(peer, answer);
+      return true;
     }
-  } else if (frame.type == FrameType::kData) {
-    DataFrame data;
-    if (Decode(frame.payload, data)) {
+    case FrameType::kData: {
+      DataFrame data;
+      if (!Decode(frame.payload, data)) {
+        return false;
+      }
       this->entry.OnPart(peer, data);
+      return true;
     }
-  } else if (frame.type == FrameType::kQuotaLoan) {
-    QuotaLoanFrame loan;
-    if (Decode(frame.payload, loan)) {
+    case FrameType::kQuotaLoan: {
+      QuotaLoanFrame loan;
+      if (!Decode(frame.payload, loan)) {
+        return false;
+      }
       this->entry.Quotas().OnLoan(loan);
+      return true;
     }
-  } else if (frame.type == FrameType::kTrialAnswer) {
-    TrialAnswerFrame answer;
-    if (Decode(frame.payload, answer)) {
+    case FrameType::kTrialAnswer: {
+      TrialAnswerFrame answer;
+      if (!Decode(frame.payload, answer)) {
+        return false;
+      }
       this->entry.Blame().OnPermitted(answer);
+      return true;
     }
+    default:
+      return true;
   }
 }
 
--- a/libs/relay/src/peer_news.cc
+++ b/libs/relay/src/peer_news.cc
@@ -105,96 +105,122 @@
   return is_outnumbered;
 }
 
+/// A peer whose frames cannot be decoded is not understood any more: what
+/// follows could be taken for something else, and an answer that was passed
+/// over would leave its call waiting for its whole time.
 void PeerTable::OnAcceptedFrame(const PeerLinkPointer& link,
                                 const RawFrame& frame) {
-  if (frame.type == FrameType::kHello) {
-    HelloFrame hello;
-    if (!Decode(frame.payload, hello) ||
-        hello.deployment != this->settings.deployment) {
-      LogEvent(kEventPeerRefused, {{"node", hello.self.name}});
-      this->accepted.erase(link->Id());
-      link->Close();
-      return;
-    }
-    AcceptedLink& entry = this->accepted[link->Id()];
-    entry.node = hello.self.name;
-    entry.dialect = hello.dialect;
-    this->OnHello(hello);
-    this->SendHello(*link, hello.self.name);
-    this->TellState(entry);
-    return;
-  }
-  if (frame.type == FrameType::kPolicy) {
-    // From a node of the dialect before; others are asked.
-    this->OnPolicy(nullptr, frame.payload);
-    return;
-  }
-  if (frame.type == FrameType::kWantPolicy) {
-    this->OnWantPolicy(link, frame.payload);
+  if (this->TakeAcceptedFrame(link, frame)) {
     return;
   }
-  if (frame.type == FrameType::kPing) {
-    const auto entry = this->accepted.find(link->Id());
-    if (entry != this->accepted.end()) {
-      this->TellState(entry->second);
+  const auto entry = this->accepted.find(link->Id());
+  LogEvent(kEventPeerRefused,
+           {{"node", entry == this->accepted.end() ? "" : entry->second.node},
+            {"frame", std::to_string(static_cast<unsigned>(frame.type))}});
+  this->accepted.erase(link->Id());
+  link->Close();
+  this->events.on_accepted_closed(link->Id());
+}
+
+bool PeerTable::TakeAcceptedFrame(const PeerLinkPointer& link,
+                                  const RawFrame& frame) {
+  switch (frame.type) {
+    case FrameType::kHello:
+      return this->OnAcceptedHello(link, frame.payload);
+    case FrameType::kPolicy:
+      // From a node of the dialect before; others are asked.
+      return this->OnPolicy(nullptr, frame.payload);
+    case FrameType::kWantPolicy:
+      return this->OnWantPolicy(link, frame.payload);
+    case FrameType::kPing: {
+      const auto entry = this->accepted.find(link->Id());
+      if (entry != this->accepted.end()) {
+        this->TellState(entry->second);
+      }
+      return true;
     }
-    return;
-  }
-  if (frame.type == FrameType::kSeen) {
-    ReportNumber report;
-    if (DecodeSeen(frame.payload, report)) {
+    case FrameType::kSeen: {
+      ReportNumber report;
+      if (!DecodeSeen(frame.payload, report)) {
+        return false;
+      }
       this->events.on_seen(report);
+      return true;
     }
-    return;
+    default:
+      return this->events.on_call(link, frame);
+  }
+}
+
+bool PeerTable::OnAcceptedHello(const PeerLinkPointer& link,
+                                std::string_view payload) {
+  HelloFrame hello;
+  if (!Decode(payload, hello) ||
+      hello.deployment != this->settings.deployment) {
+    return false;
   }
-  this->events.on_call(link, frame);
+  AcceptedLink& entry = this->accepted[link->Id()];
+  entry.node = hello.self.name;
+  entry.dialect = hello.dialect;
+  this->OnHello(hello);
+  this->SendHello(*link, hello.self.name);
+  this->TellState(entry);
+  return true;
 }
 
 void PeerTable::OnDialledFrame(const PeerPointer& peer, const RawFrame& frame) {
   peer->is_suspect = false;
+  if (!this->TakeDialledFrame(peer, frame)) {
+    LogEvent(kEventPeerRefused,
+             {{"node", peer->node.name},
+              {"frame", std::to_string(static_cast<unsigned>(frame.type))}});
+    this->LoseLink(peer);
+  }
+}
+
+bool PeerTable::TakeDialledFrame(const PeerPointer& peer,
+                                 const RawFrame& frame) {
   switch (frame.type) {
-    case FrameType::kHello: {
-      HelloFrame hello;
-      if (Decode(frame.payload, hello)) {
-        if (hello.self.name != peer->node.name) {
-          // The address belongs to another node now.
-          peer->node = hello.self;
-        }
-        NoteStart(hello.self.incarnation, *peer);
-        peer->dialect = hello.dialect;
-        if (this->OnHello(hello)) {
-          // It takes this start for an earlier one until it hears the number.
-          this->SendHello(*peer->link, peer->node.name);
-        }
-      }
-      return;
-    }
+    case FrameType::kHello:
+      return this->OnDialledHello(peer, frame.payload);
     case FrameType::kState:
-      this->OnState(peer, frame.payload);
-      return;
+      return this->OnState(peer, frame.payload);
     case FrameType::kLoad:
-      this->OnLoad(peer, frame.payload);
-      return;
+      return this->OnLoad(peer, frame.payload);
     case FrameType::kVersion:
-      this->OnVersion(peer, frame.payload);
-      return;
+      return this->OnVersion(peer, frame.payload);
     case FrameType::kNodes:
-      this->OnNodes(frame.payload);
-      return;
+      return this->OnNodes(frame.payload);
     case FrameType::kPolicy:
-      this->OnPolicy(peer, frame.payload);
-      return;
+      return this->OnPolicy(peer, frame.payload);
     default:
-      this->events.on_answer(peer, frame);
+      return this->events.on_answer(peer, frame);
+  }
+}
+
+bool PeerTable::OnDialledHello(const PeerPointer& peer,
+                               std::string_view payload) {
+  HelloFrame hello;
+  if (!Decode(payload, hello)) {
+    return false;
+  }
+  if (hello.self.name != peer->node.name) {
+    // The address belongs to another node now.
+    peer->node = hello.self;
   }
+  NoteStart(hello.self.incarnation, *peer);
+  peer->dialect = hello.dialect;
+  if (this->OnHello(hello)) {
+    // It takes this start for an earlier one until it hears the number.
+    this->SendHello(*peer->link, peer->node.name);
+  }
+  return true;
 }
 
-void PeerTable::OnState(const PeerPointer& peer, std::string_view payload) {
+bool PeerTable::OnState(const PeerPointer& peer, std::string_view payload) {
   StateFrame state;
   if (!Decode(payload, state)) {
-    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
-    this->LoseLink(peer);
-    return;
+    return false;
   }
   const bool is_first = !peer->is_greeted;
   const bool is_moved = peer->told.service != state.service;
@@ -215,6 +241,7 @@
   this->RememberLeaving(peer);
   this->events.on_state(peer, is_first);
   this->AskForPolicy(peer->told_at);
+  return true;
 }
 
 /// What a peer tells of an instance that leaves is kept for it over a restart.
@@ -240,20 +267,19 @@
   peer->link->FlushSoon();
 }
 
-void PeerTable::OnLoad(const PeerPointer& peer, std::string_view payload) {
+bool PeerTable::OnLoad(const PeerPointer& peer, std::string_view payload) {
   LoadFrame load;
   if (!Decode(payload, load)) {
-    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
-    this->LoseLink(peer);
-    return;
+    return false;
   }
   if (!peer->is_greeted) {
     // Its state comes first; without one a load says nothing.
-    return;
+    return true;
   }
   ApplyLoad(std::move(load), peer->told);
   peer->told_at = BootTimeNow();
   peer->sent_since = 0;
+  return true;
 }
 
 /// The load, with the calls of chains only when they have moved or were not
--- a/libs/relay/src/peer_policy.cc
+++ b/libs/relay/src/peer_policy.cc
@@ -2,7 +2,6 @@
 #include <random>
 #include <utility>
 
-#include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
 #include "almondlink/relay/peer_table.h"
 
@@ -120,42 +119,45 @@
   peer->link->FlushSoon();
 }
 
-void PeerTable::OnVersion(const PeerPointer& peer, std::string_view payload) {
+bool PeerTable::OnVersion(const PeerPointer& peer, std::string_view payload) {
   std::uint64_t version = 0;
   if (!DecodeVersion(payload, version)) {
-    LogEvent(kEventPeerRefused, {{"node", peer->node.name}});
-    this->LoseLink(peer);
-    return;
+    return false;
   }
   if (!peer->is_greeted) {
     // Its state comes first.
-    return;
+    return true;
   }
   peer->told.policy_version = version;
   this->AskForPolicy(BootTimeNow());
+  return true;
 }
 
 /// `peer`: the node that was asked; null for one that pushes.
-void PeerTable::OnPolicy(const PeerPointer& peer, std::string_view payload) {
+bool PeerTable::OnPolicy(const PeerPointer& peer, std::string_view payload) {
   // Its text stands behind four bytes of length.
   constexpr std::size_t kLengthBytes = 4;
   if (peer != nullptr && peer == this->policy_asked.lock()) {
     this->policy_asked.reset();
   }
-  if (payload.size() > kLengthBytes) {
-    this->events.on_policy(std::string(payload.substr(kLengthBytes)));
+  if (payload.size() <= kLengthBytes) {
+    return false;
   }
+  this->events.on_policy(std::string(payload.substr(kLengthBytes)));
+  return true;
 }
 
-void PeerTable::OnWantPolicy(const PeerLinkPointer& link,
+bool PeerTable::OnWantPolicy(const PeerLinkPointer& link,
                              std::string_view payload) {
   std::uint64_t known = 0;
-  const bool is_newer =
-      DecodeVersion(payload, known) && this->self->told.policy_version > known;
-  if (is_newer) {
+  if (!DecodeVersion(payload, known)) {
+    return false;
+  }
+  if (this->self->told.policy_version > known) {
     this->policy_wanted.push_back(link->Id());
     this->ServePolicy();
   }
+  return true;
 }
 
 void PeerTable::ServePolicy() {
@@ -211,14 +213,15 @@
   }
 }
 
-void PeerTable::OnNodes(std::string_view payload) {
+bool PeerTable::OnNodes(std::string_view payload) {
   std::vector<NodeAddress> nodes;
   if (!DecodeNodes(payload, nodes)) {
-    return;
+    return false;
   }
   for (const NodeAddress& node : nodes) {
     this->Learn(node);
   }
+  return true;
 }
 
 void PeerTable::PushPolicy(Millis now, const PeerPointer& peer) {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -65,10 +65,10 @@
 PeerEvents RelayNode::PeerHooks() {
   PeerEvents events;
   events.on_answer = [this](const PeerPointer& peer, const RawFrame& frame) {
-    this->OnAnswerFrame(peer, frame);
+    return this->OnAnswerFrame(peer, frame);
   };
   events.on_call = [this](const PeerLinkPointer& link, const RawFrame& frame) {
-    this->OnCallFrame(link, frame);
+    return this->OnCallFrame(link, frame);
   };
   events.on_accepted_closed = [this](LinkId link) {
     this->clock_offsets.erase(link);
