Policy's exchange: a text that cannot be read is asked for once a second

Seen on reading, then produced: a node that could not read the policy that the others have in force asked one after the other, and all anew a tenth of a second after the last; each question costs the whole text.

Test first: a peer that tells a later version and answers with what nobody reads was asked 20 times in four seconds. Change: after such a text nobody is asked for a second; the others most likely have the same one. Now within the test's bound of 6, and one that can be read on a later question comes into force.

--- a/libs/control/include/almondlink/control/policy_source.h
+++ b/libs/control/include/almondlink/control/policy_source.h
@@ -38,6 +38,8 @@
   /// A node that was asked and has not sent the text is passed over after this;
   /// a megabyte takes 0.04 s on a link of 200 Mbit/s, several may wait.
   Millis answer_wait{400};
+  /// After a text that this node could not read, nobody is asked for so long.
+  Millis unread_wait{1000};
 };
 
 /// Whether a node follows the source. `before`: reachable nodes of its zone
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -236,6 +236,9 @@
   /// The node that was asked for the policy and has not sent it; when it was.
   std::weak_ptr<Peer> policy_asked;
   Millis policy_asked_at;
+  /// When a text came that did not bring this node to the version that was
+  /// asked for; 0: none did since a newer version is known.
+  Millis policy_unread_at;
   /// Since when a newer version than the own one is known; 0: none is.
   Millis newer_known_at;
   std::uint64_t next_link = 1;
--- a/libs/relay/src/peer_policy.cc
+++ b/libs/relay/src/peer_policy.cc
@@ -76,6 +76,7 @@
   }
   if (newest == own) {
     this->newer_known_at = Millis{0};
+    this->policy_unread_at = Millis{0};
     this->policy_asked.reset();
     return;
   }
@@ -85,7 +86,11 @@
   const PeerPointer asked = this->policy_asked.lock();
   const bool is_awaited = asked != nullptr && asked->IsReachable() &&
                           now - this->policy_asked_at < rules.answer_wait;
-  if (is_awaited) {
+  // The others most likely have the same text, and each question costs all of
+  // it.
+  const bool is_unread = this->policy_unread_at != Millis{0} &&
+                         now - this->policy_unread_at < rules.unread_wait;
+  if (is_awaited || is_unread) {
     return;
   }
   std::vector<control::PolicyOffer> offers;
@@ -137,13 +142,17 @@
 bool PeerTable::OnPolicy(const PeerPointer& peer, std::string_view payload) {
   // Its text stands behind four bytes of length.
   constexpr std::size_t kLengthBytes = 4;
-  if (peer != nullptr && peer == this->policy_asked.lock()) {
+  const bool was_asked = peer != nullptr && peer == this->policy_asked.lock();
+  if (was_asked) {
     this->policy_asked.reset();
   }
   if (payload.size() <= kLengthBytes) {
     return false;
   }
   this->events.on_policy(std::string(payload.substr(kLengthBytes)));
+  if (was_asked && this->self->told.policy_version < peer->asked_version) {
+    this->policy_unread_at = BootTimeNow();
+  }
   return true;
 }
 
--- a/test/process/relay_frames_test.cc
+++ b/test/process/relay_frames_test.cc
@@ -15,15 +15,20 @@
 #include "almondlink/relay/peer_frames.h"
 #include "test/support/relay_cluster.h"
 
-/// Frames of another node that are cut. Found on reading: a cut answer was
-/// passed over without a word, and its call waited for its whole time.
+/// What another node says that cannot be read: frames that are cut, and a
+/// policy of a later form. Found on reading. A cut answer was passed over
+/// without a word, and its call waited for its whole time; a policy that cannot
+/// be read was asked for ten times a second, the whole text each time.
 namespace almondlink::test {
 namespace {
 
 using relay::FrameType;
+using relay::RawFrame;
 using Tcp = boost::asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::uint64_t kLaterVersion = 99;
+
 const std::vector<RouteSpec> kRoutes = {
     {"stock", "stock.example", "/stock/", "stock"}};
 
@@ -199,5 +204,83 @@
   CHECK_FALSE(IsClosedSoon(peer.Dialled()));
 }
 
+/// Answers questions for the policy: `unreadable` times with what nobody reads,
+/// then with a configuration of that version.
+class PolicyPeer {
+ public:
+  PolicyPeer(const RelayCluster& cluster, int port, int unreadable_in)
+      : unreadable(unreadable_in),
+        peer(cluster, port, [this](FakePeer& self, Tcp::socket& link) {
+          this->Speak(self, link);
+        }) {}
+  ~PolicyPeer() { this->is_stopped = true; }
+
+  std::atomic<int> asked{0};
+
+ private:
+  void Speak(const FakePeer& self, Tcp::socket& socket) {
+    FakePeer::Send(socket, self.Hello() + FakePeer::State(kLaterVersion));
+    std::string input;
+    while (!this->is_stopped) {
+      pollfd entry{socket.native_handle(), POLLIN, 0};
+      if (poll(&entry, 1, 50) != 1) {
+        continue;
+      }
+      char bytes[4096];
+      boost::system::error_code error;
+      const std::size_t count =
+          socket.read_some(boost::asio::buffer(bytes), error);
+      if (error) {
+        return;
+      }
+      input.append(bytes, count);
+      this->TakeFrames(input, socket);
+    }
+  }
+
+  void TakeFrames(std::string& input, Tcp::socket& socket) {
+    bool is_bad = false;
+    while (const std::optional<RawFrame> frame = relay::NextFrame(input, is_bad)) {
+      const bool is_question = frame->type == FrameType::kWantPolicy;
+      const bool is_ping = frame->type == FrameType::kPing;
+      input.erase(0, frame->size);
+      if (is_ping) {
+        FakePeer::Send(socket, FakePeer::State(kLaterVersion));
+      }
+      if (is_question) {
+        const bool is_readable = ++this->asked > this->unreadable;
+        std::string bytes;
+        relay::AppendPolicy(
+            is_readable ? MakeConfig(kLaterVersion, kRoutes) : "{\"later\":",
+            bytes);
+        FakePeer::Send(socket, bytes);
+      }
+    }
+  }
+
+  const int unreadable;
+  std::atomic<bool> is_stopped{false};
+  FakePeer peer;
+};
+
+TEST_CASE("a policy that cannot be read is asked for once a second") {
+  Alone alone(25400, "policy-unreadable");
+  PolicyPeer peer(alone.cluster, 25429, 1000);
+  REQUIRE(Soon([&]() { return peer.asked > 0; }));
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  CHECK(peer.asked <= 6);
+  CHECK(peer.asked >= 2);
+  CHECK(alone.cluster.Metric(0, "almondlink_policy_version") == 1);
+}
+
+TEST_CASE("a policy that can be read on a later question comes into force") {
+  Alone alone(25430, "policy-read-later");
+  PolicyPeer peer(alone.cluster, 25459, 2);
+  CHECK(Soon([&]() {
+    return alone.cluster.Metric(0, "almondlink_policy_version") ==
+           static_cast<double>(kLaterVersion);
+  }));
+}
+
 }  // namespace
 }  // namespace almondlink::test
