Relay: a connection is kept only after an answer with its request's id

What callers saw: 503, *not run and never will*, for a request that ran. Found by looking for the fault of the target's second answer in the relay: a refusal may come without an id, so a second one on a kept connection was taken for the answer to the next request, at-most-once ones too; a caller that repeats it runs it twice.

Test first: a target that refuses twice, 20 ms between, then serves; the next request got 503 with one run. Change: after an answer without the id the connection is closed.

Not done: refusing refusals without an id on kept connections altogether; true ones would become unknown outcomes.

--- a/libs/relay/src/target_connection.cc
+++ b/libs/relay/src/target_connection.cc
@@ -235,7 +235,10 @@
 }
 
 void TargetConnection::Complete() {
-  const bool is_usable = this->parser->head.is_keep_alive &&
+  // A refusal may come without the id. A second one could not be told from the
+  // answer to the next request, which would be called not run though it ran.
+  const bool has_id = this->parser->head.id == this->request.id;
+  const bool is_usable = has_id && this->parser->head.is_keep_alive &&
                          !this->has_skipped && this->input.empty() &&
                          this->written == this->request.bytes.size() &&
                          this->socket.is_open();
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds kReportEvery{150};
 constexpr std::chrono::milliseconds kLook{5};
 constexpr std::chrono::milliseconds kReportTimeout{1000};
+constexpr std::chrono::milliseconds kSecondRefusal{20};
 
 std::int64_t SteadyMillis() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -154,8 +155,12 @@
     return reaction;
   }
   const InstanceFault now = this->fault;
-  if (now == InstanceFault::kShed) {
+  if (now == InstanceFault::kShed || now == InstanceFault::kShedTwice) {
     reaction.bytes = MakeAnswer(503, "Not-Executed: 1\r\n", "");
+    if (now == InstanceFault::kShedTwice) {
+      reaction.late_bytes = reaction.bytes;
+      reaction.pause = kSecondRefusal;
+    }
     return reaction;
   }
   SeenRequest run;
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -20,6 +20,8 @@
   kNone,
   /// Answers that it did not run it.
   kShed,
+  /// Says so twice, the second time after a pause.
+  kShedTwice,
   /// Runs it and resets the connection.
   kLoseAnswer,
   /// Runs it and ends the answer before its length.
--- a/test/process/relay_faults_test.cc
+++ b/test/process/relay_faults_test.cc
@@ -98,6 +98,22 @@
   }
 }
 
+TEST_CASE("a refusal that comes twice is not told to the next request") {
+  // Refusals carry no id, so a second one on a kept connection was told as
+  // *not run* to a request that ran.
+  Pair pair(25460, "shed-twice");
+  for (int i = 0; i < 10; ++i) {
+    pair.SetFaults(InstanceFault::kShedTwice);
+    pair.Pay("s" + std::to_string(i));
+    pair.SetFaults(InstanceFault::kNone);
+    const std::string id = "p" + std::to_string(i);
+    const PlainAnswer answer = pair.Pay(id);
+    INFO("status " << answer.status << ", runs " << pair.RunsOf(id));
+    REQUIRE(answer.status == 200);
+    REQUIRE(pair.RunsOf(id) == 1);
+  }
+}
+
 TEST_CASE("a success without the target's mark is not passed on") {
   Pair pair(24460, "seal");
   pair.SetFaults(InstanceFault::kNoSeal);
