--- /dev/null
+++ b/bench/target_answers.cc
@@ -0,0 +1,321 @@
+#include <gflags/gflags.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "almondlink/server/target_client.h"
+
+/// A target that answers each request twice: how many requests get another
+/// one's answer, and what a request costs, by how connections are kept
+/// (docs/design/target-answers.md). Client and target are threads of this
+/// process; processor time is that of the client's thread.
+
+DEFINE_int32(requests, 10000, "requests a line");
+DEFINE_int32(together, 32, "requests under way at once where answers are late");
+DEFINE_int32(rate, 2000, "requests a second where sockets are counted");
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using almondlink::ErrorKind;
+using almondlink::server::TargetAnswer;
+using almondlink::server::TargetClient;
+using almondlink::server::TargetClientConfig;
+using almondlink::server::TargetRequest;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint16_t kPort = 23110;
+constexpr int kNoSecondAnswer = -1;
+constexpr const char* kId = "Almondlink-Attempt-Id";
+
+/// How the target behaves.
+struct Behaviour {
+  int pause_ms = kNoSecondAnswer;
+  bool returns_id = true;
+};
+
+class TargetSession : public std::enable_shared_from_this<TargetSession> {
+ public:
+  TargetSession(tcp::socket socket_in, Behaviour behaviour_in)
+      : socket(std::move(socket_in)),
+        pause(this->socket.get_executor()),
+        behaviour(behaviour_in) {
+    this->socket.set_option(tcp::no_delay(true));
+  }
+
+  void Read() {
+    this->request = {};
+    http::async_read(this->socket, this->buffer, this->request,
+                     [self = this->shared_from_this()](
+                         boost::system::error_code error, std::size_t) {
+                       if (!error) {
+                         self->Answer();
+                       }
+                     });
+  }
+
+ private:
+  void Answer() {
+    this->answer = {http::status::ok, 11};
+    this->answer.body() = std::string(this->request.target());
+    if (this->behaviour.returns_id) {
+      this->answer.set(kId, this->request[kId]);
+    }
+    this->answer.keep_alive(this->request.keep_alive());
+    this->answer.prepare_payload();
+    this->Write([self = this->shared_from_this()]() { self->AnswerAgain(); });
+  }
+
+  void Write(std::function<void()> then) {
+    http::async_write(this->socket, this->answer,
+                      [self = this->shared_from_this(), then = std::move(then)](
+                          boost::system::error_code error, std::size_t) {
+                        if (!error) {
+                          then();
+                        }
+                      });
+  }
+
+  void AnswerAgain() {
+    const auto next = [self = this->shared_from_this()]() {
+      if (self->answer.keep_alive()) {
+        self->Read();
+      }
+    };
+    if (this->behaviour.pause_ms == kNoSecondAnswer) {
+      next();
+      return;
+    }
+    this->pause.expires_after(
+        std::chrono::milliseconds(this->behaviour.pause_ms));
+    this->pause.async_wait(
+        [self = this->shared_from_this(),
+         next](boost::system::error_code /*error*/) { self->Write(next); });
+  }
+
+  tcp::socket socket;
+  asio::steady_timer pause;
+  const Behaviour behaviour;
+  boost::beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  http::response<http::string_body> answer;
+};
+
+class Target {
+ public:
+  explicit Target(Behaviour behaviour_in)
+      : behaviour(behaviour_in),
+        acceptor(this->loop, {asio::ip::make_address("127.0.0.1"), kPort}) {
+    this->Accept();
+    this->thread = std::thread([this]() { this->loop.run(); });
+  }
+  ~Target() {
+    this->loop.stop();
+    this->thread.join();
+  }
+
+ private:
+  void Accept() {
+    this->acceptor.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (!error) {
+            std::make_shared<TargetSession>(std::move(socket), this->behaviour)
+                ->Read();
+          }
+          this->Accept();
+        });
+  }
+
+  const Behaviour behaviour;
+  asio::io_context loop{1};
+  tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+struct Figures {
+  int foreign = 0;
+  int failed = 0;
+  std::vector<double> times_us;
+  double processor_us = 0;
+  std::uint64_t connects = 0;
+};
+
+double ThreadMicros() {
+  rusage usage{};
+  getrusage(RUSAGE_THREAD, &usage);
+  const auto micros = [](const timeval& time) {
+    return 1e6 * static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec);
+  };
+  return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
+/// `together` requests under way until `count` are done; `gap`: pause before
+/// each start.
+class Load {
+ public:
+  Load(bool needs_no_id, int count_in, std::chrono::microseconds gap_in)
+      : client(loop, Config(needs_no_id)), left(count_in), gap(gap_in) {}
+
+  Figures Run(int together) {
+    const double before = ThreadMicros();
+    this->next = Clock::now();
+    for (int i = 0; i < together; ++i) {
+      this->Start();
+    }
+    this->loop.run();
+    this->figures.processor_us = ThreadMicros() - before;
+    this->figures.connects = this->client.Counts().connects;
+    return std::move(this->figures);
+  }
+
+ private:
+  static TargetClientConfig Config(bool needs_no_id) {
+    TargetClientConfig config;
+    config.address = {"127.0.0.1", kPort};
+    config.needs_no_id = needs_no_id;
+    return config;
+  }
+
+  void Start() {
+    if (this->left == 0) {
+      if (--this->open == 0) {
+        this->loop.stop();
+      }
+      return;
+    }
+    if (this->gap.count() == 0) {
+      this->Send();
+      return;
+    }
+    this->next += this->gap;
+    const auto timer = std::make_shared<asio::steady_timer>(this->loop);
+    timer->expires_at(this->next);
+    timer->async_wait(
+        [this, timer](boost::system::error_code /*error*/) { this->Send(); });
+  }
+
+  void Send() {
+    const std::string path = "/" + std::to_string(--this->left);
+    TargetRequest request;
+    request.method = "GET";
+    request.target = path;
+    request.timeout = almondlink::Millis{5000};
+    const Clock::time_point start = Clock::now();
+    this->client.Send(std::move(request),
+                      [this, path, start](const TargetAnswer& answer) {
+                        this->Note(answer, path, start);
+                        asio::post(this->loop, [this]() { this->Start(); });
+                      });
+  }
+
+  void Note(const TargetAnswer& answer,
+            const std::string& path,
+            Clock::time_point start) {
+    this->figures.times_us.push_back(
+        std::chrono::duration<double, std::micro>(Clock::now() - start)
+            .count());
+    const bool is_whole = answer.error == ErrorKind::kNone;
+    const bool is_own =
+        std::string(answer.body.begin(), answer.body.end()) == path;
+    this->figures.failed += is_whole ? 0 : 1;
+    this->figures.foreign += is_whole && !is_own ? 1 : 0;
+  }
+
+  asio::io_context loop{1};
+  TargetClient client;
+  int left;
+  int open = 1;
+  const std::chrono::microseconds gap;
+  Clock::time_point next;
+  Figures figures;
+
+ public:
+  void SetTogether(int together) { this->open = together; }
+};
+
+int SocketsInTimeWait() {
+  std::ifstream in("/proc/net/tcp");
+  const std::string port = ":5A46";
+  int count = 0;
+  std::string line;
+  while (std::getline(in, line)) {
+    const bool is_here = line.find(port) != std::string::npos;
+    count += is_here && line.substr(33, 3).find("06") != std::string::npos;
+  }
+  return count;
+}
+
+struct Way {
+  const char* name;
+  bool returns_id;
+  bool needs_no_id;
+};
+
+Figures Measure(const Way& way,
+                int pause_ms,
+                int count,
+                int together,
+                std::chrono::microseconds gap) {
+  Target target({pause_ms, way.returns_id});
+  Load load(way.needs_no_id, count, gap);
+  load.SetTogether(together);
+  Figures figures = load.Run(together);
+  std::sort(figures.times_us.begin(), figures.times_us.end());
+  return figures;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const Way ways[] = {{"kept by order alone", false, true},
+                      {"kept by the id", true, false},
+                      {"one a request", false, false}};
+  // First: sockets in TIME_WAIT stay for a minute.
+  for (const Way& way : ways) {
+    const int seconds = 5;
+    const std::chrono::microseconds gap(1'000'000 / FLAGS_rate);
+    const int before = SocketsInTimeWait();
+    const Figures paced =
+        Measure(way, kNoSecondAnswer, FLAGS_rate * seconds, 1, gap);
+    std::printf(
+        "%-20s %d a second for %d s: %d sockets in TIME_WAIT more, %d "
+        "failed\n",
+        way.name, FLAGS_rate, seconds, SocketsInTimeWait() - before,
+        paced.failed);
+  }
+  for (const Way& way : ways) {
+    for (const int pause : {0, 1, 30, 300}) {
+      const Figures figures =
+          Measure(way, pause, FLAGS_requests, FLAGS_together, {});
+      std::printf(
+          "%-20s second answer after %3d ms: %5d foreign, %4d failed, "
+          "%llu connections\n",
+          way.name, pause, figures.foreign, figures.failed,
+          static_cast<unsigned long long>(figures.connects));
+    }
+  }
+  for (const Way& way : ways) {
+    const Figures one = Measure(way, kNoSecondAnswer, FLAGS_requests, 1, {});
+    const auto count = static_cast<double>(one.times_us.size());
+    std::printf(
+        "%-20s one answer: p50 %.0f us, p99 %.0f us, %.1f us of "
+        "processor time a request\n",
+        way.name, one.times_us[one.times_us.size() / 2],
+        one.times_us[one.times_us.size() * 99 / 100], one.processor_us / count);
+  }
+}
