--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -1,4 +1,5 @@
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/asio.hpp>
@@ -39,6 +40,11 @@
               "",
               "calls made for a path prefix: PREFIX>SERVICE METHOD PATH, "
               "separated by semicolons");
+DEFINE_string(
+    deadly,
+    "",
+    "the process ends soon after it began to run a request whose path "
+    "begins with this");
 
 namespace {
 
@@ -176,6 +182,19 @@
   return Plain(request, http::status::ok, "ok\n");
 }
 
+/// Time for which a deadly request runs before the process ends.
+constexpr std::chrono::milliseconds kDeadlyRun{10};
+constexpr int kDeadlyExit = 9;
+
+void EndIfDeadly(const Request& request) {
+  const std::string target(request.target());
+  if (!FLAGS_deadly.empty() && target.rfind(FLAGS_deadly, 0) == 0) {
+    std::this_thread::sleep_for(kDeadlyRun);
+    // As a crash: no connection is ended in order.
+    _exit(kDeadlyExit);
+  }
+}
+
 /// Runs a request: ledger first, then work and onward calls.
 Response RunRequest(TargetState& state, const Request& request, int extra_ms) {
   {
@@ -184,6 +203,7 @@
                            std::string(request["X-Request-Number"]) + " " +
                            std::string(request.target()));
   }
+  EndIfDeadly(request);
   Work(state, FLAGS_work_ms + extra_ms);
   std::string verdict;
   if (!CallOnward(state, request, verdict)) {
--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -1,4 +1,5 @@
 #include <cstdint>
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/wire/messages.generated.h"
+#include "libs/server/src/answer_reader.h"
 #include "platform/guilty_records.h"
 #include "platform/instance_reports.h"
 #include "platform/operator_config.h"
@@ -136,6 +138,38 @@
   }
 }
 
+/// Whatever a target sends, on a connection that was used before only an answer
+/// with the own id is delivered, and cuts of the bytes change nothing.
+void ReadAnswer(const std::string& text) {
+  namespace server = almondlink::server;
+  const std::string own = "own0";
+  const std::string tail = "HTTP/1.1 200 OK\r\nAlmondlink-Attempt-Id: " + own +
+                           "\r\nContent-Length: 4\r\n\r\nmine";
+  server::ExpectedAnswer expected;
+  expected.id = own;
+  expected.trust.is_fresh = false;
+  const auto read = [&](std::size_t piece) {
+    server::AnswerReader reader(expected, {4096, 4096});
+    boost::beast::flat_buffer input;
+    const std::string all = text + tail;
+    server::ReadStep step = server::ReadStep::kNeedMore;
+    for (std::size_t at = 0;
+         at < all.size() && step == server::ReadStep::kNeedMore; at += piece) {
+      const std::string part = all.substr(at, piece);
+      std::memcpy(input.prepare(part.size()).data(), part.data(), part.size());
+      input.commit(part.size());
+      step = reader.Feed(input);
+    }
+    if (step == server::ReadStep::kDone && !reader.HasOwnId()) {
+      __builtin_trap();
+    }
+    return step;
+  };
+  if (read(1) != read(text.size() + tail.size())) {
+    __builtin_trap();
+  }
+}
+
 /// A key that was read is one that a policy can hold.
 void ReadKey(const std::string& text) {
   namespace relay = almondlink::relay;
@@ -213,7 +247,7 @@
     return 0;
   }
   const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 10) {
+  switch (data[0] % 11) {
     case 0:
       DecodeMessages(data + 1, size - 1);
       break;
@@ -246,6 +280,9 @@
     case 9:
       ReadKey(text);
       break;
+    case 10:
+      ReadAnswer(text);
+      break;
     default:
       almondlink::control::ParseMintedKey(text);
       almondlink::control::TimeOfUuid7(text);
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -181,6 +181,13 @@
     this->StartNode(instance);
     return instance;
   }
+  this->StartTarget(instance);
+  this->StartNode(instance);
+  return instance;
+}
+
+void Cluster::StartTarget(Instance& instance) const {
+  const InstanceSpec& spec = instance.spec;
   instance.target = std::make_unique<Process>(
       std::vector<std::string>{Program("standins/standin_target"),
                                "--port=" + std::to_string(instance.port + 3),
@@ -188,10 +195,9 @@
                                "--node_port=" + std::to_string(instance.port),
                                "--slots=" + std::to_string(spec.slots),
                                "--work_ms=" + std::to_string(spec.work_ms),
-                               "--calls=" + spec.calls},
+                               "--calls=" + spec.calls,
+                               "--deadly=" + spec.deadly},
       this->folder + "/" + spec.name + ".target.out");
-  this->StartNode(instance);
-  return instance;
 }
 
 void Cluster::StartNode(Instance& instance) {
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -23,6 +23,8 @@
   int slots = 16;
   int work_ms = 1;
   std::string calls = {};
+  /// Path prefix of requests that end the target.
+  std::string deadly = {};
   bool has_log = true;
   /// Extra lines for sections, for example "[mesh]" -> "link_ping = 100ms".
   std::map<std::string, std::string> extra = {};
@@ -51,6 +53,7 @@
   /// Starts target and node; does not wait.
   Instance& Add(const InstanceSpec& spec);
   void StartNode(Instance& instance);
+  void StartTarget(Instance& instance) const;
   /// Releases `text` with two signatures; waits until each node has it.
   void Release(const std::string& text, std::string* shown = nullptr);
   /// Runs the tool with the flags of this deployment.
