Requests that end their targets: the node beside the target holds them, own interface

What callers saw: a service whose targets all end again and again under one request that is sent once more as a new one.

Cause: a retry grant bounds the sends of one request, the harm is by content and deployment; nothing was kept of what had run where a target ended.

Lost calls wait until a connect tells whether the process is gone; what ran there is noted by digest and told to all nodes by datagrams; after two ends the request runs on trial only, at the one target that all choose alike by the digest; the rest is refused as ends-targets, not run, and names that node, where the entry node goes once.

Ruled out: trials permitted by one node as on the users' platform (two messages a trial, and a keeper that can be lost); counts without news (each target ends twice).

The target's side gave its rules, reports and lost calls files of their own, the node its own record and longest deadline; no change of logic.

--- a/almondlinkd/entry_call.h
+++ b/almondlinkd/entry_call.h
@@ -37,6 +37,7 @@
   bool is_done = false;
   bool is_recalling = false;
   bool is_minting = false;
+  bool is_sent_to_trial = false;
   // The attempt that is out.
   std::string target_node;
   std::uint32_t lent = 0;
--- a/almondlinkd/entry_loop_impl.h
+++ b/almondlinkd/entry_loop_impl.h
@@ -65,6 +65,12 @@
   /// Another node won the key: it may know the answer.
   bool Recall(const EntryCallPointer& entry, const wire::Answer& answer);
 
+  /// Targets have ended under the request: one node may try it.
+  bool GoToTrial(const EntryCallPointer& entry, const wire::Answer& answer);
+
+  /// False if the node is beside no target of the service.
+  bool SendToNode(const EntryCallPointer& entry, const std::string& node);
+
   void NoteDownstream(const EntryCall& entry, const wire::Answer& answer);
 
   void NoteDownstreamOfParent(const EntryCall& entry, std::uint32_t level);
--- a/almondlinkd/entry_sends.cc
+++ b/almondlinkd/entry_sends.cc
@@ -113,6 +113,9 @@
   if (kind == ErrorKind::kDuplicate && this->Recall(entry, answer)) {
     return;
   }
+  if (kind == ErrorKind::kEndsTargets && this->GoToTrial(entry, answer)) {
+    return;
+  }
   this->RetryOrFinish(entry, kind, std::move(answer));
 }
 
@@ -121,16 +124,32 @@
   if (entry->is_recalling || answer.winner.empty()) {
     return false;
   }
+  entry->is_recalling = true;
+  entry->is_recalling = this->SendToNode(entry, answer.winner);
+  return entry->is_recalling;
+}
+
+bool EntryLoop::Impl::GoToTrial(const EntryCallPointer& entry,
+                                const wire::Answer& answer) {
+  const bool is_elsewhere =
+      !answer.winner.empty() && answer.winner != entry->target_node;
+  if (entry->is_sent_to_trial || !is_elsewhere) {
+    return false;
+  }
+  entry->is_sent_to_trial = true;
+  return this->SendToNode(entry, answer.winner);
+}
+
+bool EntryLoop::Impl::SendToNode(const EntryCallPointer& entry,
+                                 const std::string& node) {
   const std::string& service = entry->call.operation->service.Value();
-  const std::optional<std::size_t> place =
-      this->views.Find(service, answer.winner);
-  if (place.has_value()) {
-    ServiceViews& views = this->views.Of(service);
-    entry->is_recalling = true;
-    this->SendTo(entry, views.routes[*place], views.targets[*place]);
-    return true;
-  }
-  return false;
+  const std::optional<std::size_t> place = this->views.Find(service, node);
+  if (!place.has_value()) {
+    return false;
+  }
+  ServiceViews& views = this->views.Of(service);
+  this->SendTo(entry, views.routes[*place], views.targets[*place]);
+  return true;
 }
 
 void EntryLoop::Impl::NoteDownstream(const EntryCall& entry,
--- a/almondlinkd/node.cc
+++ b/almondlinkd/node.cc
@@ -104,24 +104,11 @@
   }
 
  private:
-  wire::Member MakeSelf() const {
-    wire::Member self;
-    self.node = this->settings.node.id;
-    self.incarnation = this->shared->incarnation.Value();
-    self.version = 1;
-    self.service = this->settings.target.service;
-    self.zone = this->settings.node.zone;
-    self.region = this->settings.node.region;
-    self.address = this->settings.node.peer_address.Text();
-    self.slots = this->shared->slots.load();
-    return self;
-  }
-
   void MakeTargetLoop(const policy::DeploymentKey& key) {
     asio::io_context& context = this->target_loop.context;
     this->MakePlatform();
     this->target = std::make_unique<TargetSide>(
-        context, *this->shared, this->claims.get(),
+        context, *this->shared, this->claims.get(), this->EndsHooksOf(),
         [this](mesh::LinkId link, wire::Answer answer) {
           this->peers->Answer(link, std::move(answer));
         });
@@ -143,6 +130,18 @@
     this->MakeGossip(key);
   }
 
+  EndsHooks EndsHooksOf() {
+    EndsHooks hooks;
+    hooks.tell = [this](const wire::EndsNews& news) {
+      this->gossip->TellAll(news);
+    };
+    hooks.places = [this]() {
+      return TrialPlaces(*this->shared->routes.Read(),
+                         this->settings.target.service);
+    };
+    return hooks;
+  }
+
   mesh::PeerHandlers PeerHandlersOf() {
     mesh::PeerHandlers handlers;
     handlers.on_call = [this](mesh::LinkId link, wire::Call call) {
@@ -176,9 +175,12 @@
     handlers.on_newer_bundle = [this](const wire::Member& peer, std::uint64_t) {
       this->PullState(peer.address, false);
     };
-    this->gossip =
-        std::make_unique<mesh::Gossip>(this->target_loop.context, config,
-                                       this->MakeSelf(), std::move(handlers));
+    handlers.on_ends = [this](const wire::EndsNews& news) {
+      this->target->OnEnds(news);
+    };
+    this->gossip = std::make_unique<mesh::Gossip>(this->target_loop.context,
+                                                  config, SelfOf(*this->shared),
+                                                  std::move(handlers));
     this->shared->routes.Replace(
         BuildRoutes(this->gossip->Members(), this->settings.node.zone));
   }
@@ -412,22 +414,11 @@
     });
   }
 
-  Millis LongestDeadline() const {
-    Millis longest{1000};
-    const std::shared_ptr<const BundleView> view = this->shared->bundle.Read();
-    if (view != nullptr) {
-      for (const policy::OperationSpec& operation :
-           view->in_force->bundle->operations) {
-        longest = std::max(longest, operation.timeout);
-      }
-    }
-    return longest;
-  }
-
   /// Waits until nothing is in flight; false if the longest deadline passed.
   bool WaitForWork() {
     const RcuThread rcu;
-    const Millis until = MonotonicNow() + this->LongestDeadline() + kStopMargin;
+    const Millis until =
+        MonotonicNow() + LongestDeadline(*this->shared) + kStopMargin;
     while (MonotonicNow() < until) {
       const std::size_t at_target =
           AskLoop<std::size_t>(this->target_loop.context,
--- a/almondlinkd/shared_state.cc
+++ b/almondlinkd/shared_state.cc
@@ -29,6 +29,21 @@
   return table;
 }
 
+std::vector<std::string> TrialPlaces(const RoutingTable& routes,
+                                     const std::string& service) {
+  std::vector<std::string> places;
+  const auto found = routes.by_service.find(service);
+  if (found == routes.by_service.end()) {
+    return places;
+  }
+  for (const RouteEntry& route : found->second) {
+    if (!route.is_draining && !route.is_suspect) {
+      places.push_back(route.node);
+    }
+  }
+  return places;
+}
+
 std::shared_ptr<const BundleView> BuildBundleView(
     const std::shared_ptr<const policy::InForce>& in_force,
     const std::shared_ptr<const BundleView>& before) {
@@ -63,4 +78,29 @@
   return Millis{static_cast<std::int64_t>(claiming) * kMsPerSecond / appends};
 }
 
+wire::Member SelfOf(const SharedState& shared) {
+  wire::Member self;
+  self.node = shared.settings.node.id;
+  self.incarnation = shared.incarnation.Value();
+  self.version = 1;
+  self.service = shared.settings.target.service;
+  self.zone = shared.settings.node.zone;
+  self.region = shared.settings.node.region;
+  self.address = shared.settings.node.peer_address.Text();
+  self.slots = shared.slots.load();
+  return self;
+}
+
+Millis LongestDeadline(const SharedState& shared) {
+  Millis longest{1000};
+  const std::shared_ptr<const BundleView> view = shared.bundle.Read();
+  if (view != nullptr) {
+    for (const policy::OperationSpec& operation :
+         view->in_force->bundle->operations) {
+      longest = std::max(longest, operation.timeout);
+    }
+  }
+  return longest;
+}
+
 }  // namespace almondlink::daemon
--- a/almondlinkd/shared_state.h
+++ b/almondlinkd/shared_state.h
@@ -16,6 +16,7 @@
 #include "almondlink/control/work_table.h"
 #include "almondlink/policy/fold.h"
 #include "almondlink/policy/signing.h"
+#include "almondlink/wire/messages.generated.h"
 
 /// What the threads of a node share. Requests read snapshots by read-copy-
 /// update and atomics; nobody on a request's path takes a lock.
@@ -76,6 +77,10 @@
     const control::Membership& membership,
     const std::string& own_zone);
 
+/// Nodes beside targets of a service that take calls.
+std::vector<std::string> TrialPlaces(const RoutingTable& routes,
+                                     const std::string& service);
+
 /// Builds the view of a bundle, keeping the budgets of teams that stay.
 std::shared_ptr<const BundleView> BuildBundleView(
     const std::shared_ptr<const policy::InForce>& in_force,
@@ -87,6 +92,12 @@
                      const RoutingTable& routes,
                      std::int64_t appends);
 
+/// This node as it announces itself at its start.
+wire::Member SelfOf(const SharedState& shared);
+
+/// The longest time that any operation of the bundle in force may take.
+Millis LongestDeadline(const SharedState& shared);
+
 }  // namespace almondlink::daemon
 
 #endif  // ALMONDLINKD_SHARED_STATE_H_
--- a/almondlinkd/target_call.cc
+++ b/almondlinkd/target_call.cc
@@ -7,6 +7,13 @@
 
 namespace almondlink::daemon {
 
+namespace {
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kServerErrors = 500;
+
+}  // namespace
+
 server::TargetRequest MakeRequest(const TargetCall& target_call) {
   const wire::Call& call = target_call.call;
   server::TargetRequest request;
@@ -48,4 +55,32 @@
   return answer;
 }
 
+wire::Answer TextAnswer(const std::string& text) {
+  wire::Answer answer;
+  answer.status = kOk;
+  answer.headers.push_back({"Content-Type", "text/plain"});
+  answer.body.assign(text.begin(), text.end());
+  return answer;
+}
+
+void EndWork(const TargetCall& target_call,
+             control::WorkTable& work,
+             wire::Answer& answer) {
+  const control::WorkTable::Ended ended = work.End(target_call.span);
+  answer.grant_back = ended.grant_back;
+  answer.attempts = 1 + ended.attempts;
+  const bool is_failed = answer.error != 0 || answer.status >= kServerErrors;
+  answer.downstream = is_failed ? ended.downstream : 0;
+  answer.is_call_failed = is_failed && ended.is_call_failed;
+}
+
+wire::Answer RefusalOf(const EndsStep& step, const TargetCall& target_call) {
+  wire::Answer answer;
+  answer.error = static_cast<std::uint32_t>(ErrorKind::kEndsTargets);
+  answer.retry_after_ms = step.wait.count;
+  answer.winner = step.place;
+  answer.grant_back = target_call.call.grant;
+  return answer;
+}
+
 }  // namespace almondlink::daemon
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -11,28 +11,21 @@
 
 #include "almondlink/base/event_log.h"
 #include "almondlinkd/at_most_once.h"
-#include "almondlinkd/classify.h"
+#include "almondlinkd/lost_calls.h"
 #include "almondlinkd/target_call.h"
+#include "almondlinkd/target_ends.h"
+#include "almondlinkd/target_rules.h"
 
 namespace almondlink::daemon {
 
 namespace {
 
-/// Calls taken and not yet answered, whatever state they are in; a bound on
-/// memory far above what admission lets wait.
-constexpr std::size_t kMostOpenCalls = 20'000;
 constexpr Millis kTickBusy{5};
 constexpr Millis kTickIdle{50};
 constexpr double kMicrosPerMilli = 1000;
-constexpr std::uint32_t kServerErrors = 500;
 
 using TargetCallPointer = std::shared_ptr<TargetCall>;
 
-bool IsFailure(ErrorKind kind) {
-  return kind == ErrorKind::kTargetLost || kind == ErrorKind::kTargetTimeout ||
-         kind == ErrorKind::kTargetBadAnswer;
-}
-
 }  // namespace
 
 class TargetSide::Impl : public std::enable_shared_from_this<Impl> {
@@ -40,11 +33,18 @@
   Impl(boost::asio::io_context& loop,
        SharedState& shared,
        record_log::ClaimWriter* claims,
+       EndsHooks ends_hooks,
        AnswerSender send)
       : loop(loop),
         shared(shared),
         send(std::move(send)),
-        client(loop, ClientConfig(shared.settings)),
+        ends(shared, std::move(ends_hooks)),
+        lost(loop,
+             shared.settings.target.address,
+             [this](const LostCalls::List& calls, bool is_gone) {
+               this->SettleLost(calls, is_gone);
+             }),
+        client(loop, TargetClientConfigOf(shared.settings)),
         tick_timer(loop),
         keys(std::make_shared<AtMostOnce>(loop,
                                           shared,
@@ -65,7 +65,8 @@
     const TargetCallPointer target_call = std::make_shared<TargetCall>();
     target_call->link = link;
     target_call->call = std::move(call);
-    const ErrorKind fault = this->Check(*target_call);
+    const ErrorKind fault =
+        CheckCall(this->shared, this->calls.size(), *target_call);
     if (fault != ErrorKind::kNone) {
       this->AnswerError(*target_call, fault);
       return;
@@ -74,6 +75,12 @@
       this->Mint(*target_call);
       return;
     }
+    // Before a key is claimed: elsewhere the claim would be a second use.
+    const EndsStep step = this->ends.Judge(target_call->call, MonotonicNow());
+    if (!step.may_run && !target_call->call.is_recall) {
+      this->SendAnswer(*target_call, RefusalOf(step, *target_call));
+      return;
+    }
     const control::Ticket ticket(++this->last_ticket);
     this->calls[ticket] = target_call;
     this->tickets[{link, target_call->call.id}] = ticket;
@@ -105,20 +112,15 @@
     }
   }
 
+  void OnEnds(const wire::EndsNews& news) {
+    this->ends.OnNews(news, MonotonicNow());
+  }
+
   std::size_t OpenCalls() const { return this->calls.size(); }
 
   TargetSideReport Report() const {
-    const Millis now = MonotonicNow();
-    TargetSideReport report;
-    const control::AdmissionRules rules = this->Rules();
-    report.limit =
-        control::CurrentLimit(rules.limit, now, this->admission.limit);
-    report.in_flight = this->admission.in_flight;
-    report.waiting = static_cast<std::uint32_t>(this->admission.queue.size());
-    report.threshold = this->admission.pressure.threshold;
-    report.utilization = control::Utilization(rules, now, this->admission);
-    report.baseline_ms = this->admission.limit.baseline;
-    report.service_time_ms = this->admission.service_time.mean;
+    TargetSideReport report =
+        AdmissionReportOf(this->Rules(), MonotonicNow(), this->admission);
     report.dispatched = this->dispatched;
     report.refused = this->refused;
     report.keys = this->keys->Size();
@@ -130,58 +132,8 @@
   }
 
  private:
-  static server::TargetClientConfig ClientConfig(
-      const config::Settings& settings) {
-    server::TargetClientConfig config;
-    config.address = settings.target.address;
-    config.max_connections =
-        static_cast<std::size_t>(settings.target.connections);
-    config.connect_timeout = settings.target.connect_timeout;
-    config.max_body = static_cast<std::size_t>(settings.node.max_body);
-    config.max_header = static_cast<std::size_t>(settings.node.max_header);
-    config.needs_no_id = settings.target.reuse_without_id;
-    return config;
-  }
-
   control::AdmissionRules Rules() const {
-    control::AdmissionRules rules;
-    rules.limit.slots = this->shared.slots.load();
-    rules.limit.slow_start = this->shared.settings.target.slow_start;
-    const std::shared_ptr<const BundleView> view = this->shared.bundle.Read();
-    if (view != nullptr) {
-      const policy::ServiceSpec* service = view->in_force->bundle->FindService(
-          ServiceName(this->shared.settings.target.service));
-      if (service != nullptr) {
-        rules.queue_target = service->queue_target;
-        rules.queue_limit = service->queue_limit;
-      }
-    }
-    return rules;
-  }
-
-  ErrorKind Check(TargetCall& target_call) {
-    const wire::Call& call = target_call.call;
-    if (call.service != this->shared.settings.target.service) {
-      return ErrorKind::kNoTarget;
-    }
-    // A draining node still tells what became of a key.
-    if (this->shared.is_draining.load() && !call.is_recall) {
-      return ErrorKind::kDraining;
-    }
-    if (this->calls.size() >= kMostOpenCalls) {
-      return ErrorKind::kOverloaded;
-    }
-    if (call.timeout_ms <= 0) {
-      return ErrorKind::kDeadlinePassed;
-    }
-    target_call.deadline = MonotonicNow() + Millis{call.timeout_ms};
-    const bool is_root = HandleFailure(
-        [&]() -> Result<bool> {
-          BOOST_LEAF_ASSIGN(target_call.root, ParseRoot(call.root));
-          return true;
-        },
-        [](const Failure&) { return false; });
-    return is_root ? ErrorKind::kNone : ErrorKind::kBadMessage;
+    return AdmissionRulesOf(this->shared);
   }
 
   KeyHooks KeyHooksOf() {
@@ -199,12 +151,7 @@
   }
 
   void Mint(const TargetCall& target_call) {
-    const std::string text = this->keys->Mint();
-    wire::Answer answer;
-    answer.status = 200;
-    answer.headers.push_back({"Content-Type", "text/plain"});
-    answer.body.assign(text.begin(), text.end());
-    this->SendAnswer(target_call, std::move(answer));
+    this->SendAnswer(target_call, TextAnswer(this->keys->Mint()));
   }
 
   // ---- admission and dispatch ----
@@ -260,6 +207,13 @@
     }
     const TargetCallPointer target_call = found->second;
     const std::string& key = target_call->call.key;
+    // What ended targets may have become known while the call waited.
+    const EndsStep step = this->ends.Judge(target_call->call, MonotonicNow());
+    if (!step.may_run) {
+      this->ReleasePlace();
+      this->RefuseForEnds(ticket, step);
+      return;
+    }
     if (!key.empty() && !this->keys->TakeDispatch(key)) {
       this->ReleasePlace();
       this->Finish(ticket, ErrorKind::kDuplicate);
@@ -278,6 +232,10 @@
       this->Refuse(control::Refusal{ticket, ErrorKind::kOverloaded});
       return;
     }
+    if (step.is_on_trial) {
+      target_call->is_on_trial = true;
+      this->ends.BeginTrial(ticket, target_call->call);
+    }
     ++this->dispatched;
     target_call->is_dispatched = true;
     target_call->span = *span;
@@ -286,11 +244,47 @@
         MakeRequest(*target_call),
         [weak = this->weak_from_this(), ticket](server::TargetAnswer answer) {
           if (const std::shared_ptr<Impl> self = weak.lock()) {
-            self->OnTargetAnswer(ticket, std::move(answer));
+            self->OnTargetEvent(ticket, std::move(answer));
           }
         });
   }
 
+  void RefuseForEnds(control::Ticket ticket, const EndsStep& step) {
+    const TargetCallPointer target_call = this->calls.at(ticket);
+    const wire::Answer answer = RefusalOf(step, *target_call);
+    if (!target_call->call.key.empty()) {
+      this->keys->OnRefused(target_call->call.key, answer);
+    }
+    this->FinishWith(ticket, answer);
+  }
+
+  /// A lost call waits until it is known whether the target's process is gone.
+  void OnTargetEvent(control::Ticket ticket, server::TargetAnswer result) {
+    const bool may_be_end = result.error == ErrorKind::kTargetLost &&
+                            !this->shared.is_draining.load();
+    if (!may_be_end) {
+      this->OnTargetAnswer(ticket, std::move(result));
+      return;
+    }
+    this->lost.Add(ticket, std::move(result));
+  }
+
+  void SettleLost(const LostCalls::List& settled, bool is_gone) {
+    if (is_gone) {
+      std::vector<EndedCall> ended;
+      for (const auto& [ticket, result] : settled) {
+        const auto found = this->calls.find(ticket);
+        if (found != this->calls.end()) {
+          ended.push_back({found->second->call, found->second->is_on_trial});
+        }
+      }
+      this->ends.NoteEnd(ended, MonotonicNow());
+    }
+    for (const auto& [ticket, result] : settled) {
+      this->OnTargetAnswer(ticket, result);
+    }
+  }
+
   void ReleasePlace() {
     this->Apply(
         control::Release(this->Rules(), MonotonicNow(), this->admission));
@@ -310,26 +304,16 @@
     const LatencyMs took{PreciseNow().count - target_call->sent.count};
     wire::Answer answer = MakeAnswer(std::move(result));
     answer.target_us = static_cast<std::uint64_t>(took.count * kMicrosPerMilli);
-    this->EndWork(*target_call, answer);
+    EndWork(*target_call, this->shared.work, answer);
     const ErrorKind kind = ErrorKindFrom(answer.error);
-    this->EndPlace(kind, took);
+    this->EndPlace(*target_call, kind, took);
     if (!target_call->call.key.empty()) {
       this->keys->OnTargetAnswer(target_call->call.key, answer);
     }
     this->FinishWith(ticket, std::move(answer));
   }
 
-  void EndWork(const TargetCall& target_call, wire::Answer& answer) {
-    const control::WorkTable::Ended ended =
-        this->shared.work.End(target_call.span);
-    answer.grant_back = ended.grant_back;
-    answer.attempts = 1 + ended.attempts;
-    const bool is_failed = answer.error != 0 || answer.status >= kServerErrors;
-    answer.downstream = is_failed ? ended.downstream : 0;
-    answer.is_call_failed = is_failed && ended.is_call_failed;
-  }
-
-  void EndPlace(ErrorKind kind, LatencyMs took) {
+  void EndPlace(const TargetCall& target_call, ErrorKind kind, LatencyMs took) {
     // Nothing is learned of the target's room from one that was never reached.
     if (kind == ErrorKind::kConnectFailed) {
       this->ReleasePlace();
@@ -337,16 +321,13 @@
     }
     if (kind == ErrorKind::kNone) {
       this->target_time.Add(took);
+      this->ends.NoteWhole(target_call.call, MonotonicNow());
     }
     if (kind == ErrorKind::kTargetBadAnswer) {
       LogEvent(kEventTargetProtocol);
     }
-    const bool is_failure =
-        IsFailure(kind) || kind == ErrorKind::kTargetRefused;
-    this->Apply(control::Complete(
-        this->Rules(), MonotonicNow(), took,
-        is_failure ? control::Outcome::kFailure : control::Outcome::kSuccess,
-        this->admission));
+    this->Apply(control::Complete(this->Rules(), MonotonicNow(), took,
+                                  OutcomeOf(kind), this->admission));
   }
 
   // ---- ends ----
@@ -371,6 +352,7 @@
       this->client.Cancel(target_call->at_target);
       this->shared.work.End(target_call->span);
       this->calls.erase(ticket);
+      this->ends.EndTrial(ticket);
       this->ReleasePlace();
     }
   }
@@ -388,6 +370,7 @@
     }
     const TargetCallPointer target_call = found->second;
     this->calls.erase(found);
+    this->ends.EndTrial(ticket);
     this->tickets.erase({target_call->link, target_call->call.id});
     if (!target_call->is_dispatched && answer.error != 0) {
       // Nothing was spent of what was lent.
@@ -428,6 +411,7 @@
               control::Tick(self->Rules(), MonotonicNow(), self->admission));
           self->ExpireWaiting();
           self->keys->Forget();
+          self->ends.Tick(MonotonicNow());
           self->ScheduleTick();
         });
   }
@@ -456,6 +440,8 @@
   boost::asio::io_context& loop;
   SharedState& shared;
   const AnswerSender send;
+  TargetEnds ends;
+  LostCalls lost;
   server::TargetClient client;
   boost::asio::steady_timer tick_timer;
   bool is_stopped = false;
@@ -472,8 +458,13 @@
 TargetSide::TargetSide(boost::asio::io_context& loop,
                        SharedState& shared,
                        record_log::ClaimWriter* claims,
+                       EndsHooks ends,
                        AnswerSender send)
-    : impl(std::make_shared<Impl>(loop, shared, claims, std::move(send))) {
+    : impl(std::make_shared<Impl>(loop,
+                                  shared,
+                                  claims,
+                                  std::move(ends),
+                                  std::move(send))) {
   this->impl->Start();
 }
 
@@ -493,6 +484,10 @@
   this->impl->OnLinkClosed(link);
 }
 
+void TargetSide::OnEnds(const wire::EndsNews& news) {
+  this->impl->OnEnds(news);
+}
+
 std::size_t TargetSide::OpenCalls() const {
   return this->impl->OpenCalls();
 }
--- a/almondlinkd/target_side.h
+++ b/almondlinkd/target_side.h
@@ -12,6 +12,7 @@
 #include "almondlink/record_log/claim_writer.h"
 #include "almondlink/server/target_client.h"
 #include "almondlinkd/shared_state.h"
+#include "almondlinkd/target_ends.h"
 
 namespace almondlink::daemon {
 
@@ -44,6 +45,7 @@
   TargetSide(boost::asio::io_context& loop,
              SharedState& shared,
              record_log::ClaimWriter* claims,
+             EndsHooks ends,
              AnswerSender send);
   ~TargetSide();
   TargetSide(const TargetSide&) = delete;
@@ -56,6 +58,9 @@
   /// A peer link is gone: all its calls are given up.
   void OnLinkClosed(mesh::LinkId link);
 
+  /// Another node tells of requests that targets ended under.
+  void OnEnds(const wire::EndsNews& news);
+
   /// Calls that are taken and not yet answered.
   std::size_t OpenCalls() const;
   TargetSideReport Report() const;
--- a/libs/base/include/almondlink/base/error.h
+++ b/libs/base/include/almondlink/base/error.h
@@ -56,9 +56,11 @@
   kBadMessage = 37,
   kIo = 38,
   kTimedOut = 39,
+  // Refused, not run: targets have ended under the same request.
+  kEndsTargets = 40,
 };
 
-constexpr std::uint32_t kErrorKindCount = 40;
+constexpr std::uint32_t kErrorKindCount = 41;
 
 /// What a caller is told about whether its request was run.
 enum class Verdict : std::uint32_t {
--- a/libs/base/src/error.cc
+++ b/libs/base/src/error.cc
@@ -93,6 +93,8 @@
     {K::kIo, "io", 500, V::kNotRun, kNever, false, "input or output failed"},
     {K::kTimedOut, "timed-out", 504, V::kNotRun, kNever, false,
      "no answer in time"},
+    {K::kEndsTargets, "ends-targets", 503, V::kNotRun, kSecond, false,
+     "targets have ended under the same request"},
 }};
 
 constexpr bool IsTableInOrder() {
--- a/libs/mesh/include/almondlink/mesh/gossip.h
+++ b/libs/mesh/include/almondlink/mesh/gossip.h
@@ -39,6 +39,8 @@
   std::function<void()> on_change;
   /// A peer has a bundle from a higher offset (plus one) in force.
   std::function<void(const wire::Member&, std::uint64_t)> on_newer_bundle;
+  /// Another node tells of requests that targets ended under.
+  std::function<void(const wire::EndsNews&)> on_ends;
 };
 
 /// Counters of a Gossip.
@@ -76,6 +78,9 @@
   /// Announces a change of this node and tells some members at once.
   void Announce(const wire::Member& changed);
 
+  /// Tells all living members at once, one datagram each; none is told again.
+  void TellAll(const wire::EndsNews& news);
+
   /// Offset plus one of the bundle in force, told to others.
   void SetBundleOffset(std::uint64_t offset);
 
--- a/libs/mesh/src/gossip.cc
+++ b/libs/mesh/src/gossip.cc
@@ -115,6 +115,19 @@
     this->handlers.on_change();
   }
 
+  void TellAll(const wire::EndsNews& news) {
+    const policy::Bytes message = wire::Encode(news);
+    for (const auto& [node, entry] : this->membership.members) {
+      const bool is_told =
+          node != this->membership.self.Value() &&
+          entry.member.state ==
+              static_cast<std::uint32_t>(control::MemberState::kAlive);
+      if (is_told) {
+        this->SendTo(entry.member.address, message);
+      }
+    }
+  }
+
   void SetBundleOffset(std::uint64_t offset) { this->bundle_offset = offset; }
   const control::Membership& Members() const { return this->membership; }
   GossipStats Stats() const { return this->stats; }
@@ -204,6 +217,14 @@
         this->OnProbeRequest(request);
         return {};
       }
+      case wire::Tag::kEndsNews: {
+        BOOST_LEAF_AUTO(news,
+                        wire::DecodeEndsNews(message.data(), message.size()));
+        if (this->handlers.on_ends) {
+          this->handlers.on_ends(news);
+        }
+        return {};
+      }
       default:
         return Fail(ErrorKind::kBadMessage, "not a gossip message");
     }
@@ -443,6 +464,10 @@
   this->impl->Announce(changed);
 }
 
+void Gossip::TellAll(const wire::EndsNews& news) {
+  this->impl->TellAll(news);
+}
+
 void Gossip::SetBundleOffset(std::uint64_t offset) {
   this->impl->SetBundleOffset(offset);
 }
--- a/libs/relay/src/content_digest.h
+++ b/libs/relay/include/almondlink/relay/content_digest.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_CONTENT_DIGEST_H_
-#define ALMONDLINK_RELAY_SRC_CONTENT_DIGEST_H_
+#ifndef ALMONDLINK_RELAY_CONTENT_DIGEST_H_
+#define ALMONDLINK_RELAY_CONTENT_DIGEST_H_
 
 #include <string_view>
 
@@ -30,4 +30,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_CONTENT_DIGEST_H_
+#endif  // ALMONDLINK_RELAY_CONTENT_DIGEST_H_
--- a/libs/relay/src/target_probe.h
+++ b/libs/relay/include/almondlink/relay/target_probe.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_TARGET_PROBE_H_
-#define ALMONDLINK_RELAY_SRC_TARGET_PROBE_H_
+#ifndef ALMONDLINK_RELAY_TARGET_PROBE_H_
+#define ALMONDLINK_RELAY_TARGET_PROBE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,4 +29,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_TARGET_PROBE_H_
+#endif  // ALMONDLINK_RELAY_TARGET_PROBE_H_
--- a/libs/relay/src/content_digest.cc
+++ b/libs/relay/src/content_digest.cc
@@ -1,4 +1,4 @@
-#include "content_digest.h"
+#include "almondlink/relay/content_digest.h"
 
 #include <sodium.h>
 
--- a/libs/relay/src/entry_blame.cc
+++ b/libs/relay/src/entry_blame.cc
@@ -2,9 +2,9 @@
 
 #include "almondlink/base/event_log.h"
 #include "almondlink/base/hash.h"
+#include "almondlink/relay/content_digest.h"
 #include "almondlink/relay/entry_calls.h"
 #include "answer_text.h"
-#include "content_digest.h"
 #include "entry_call.h"
 
 /// Requests that targets end under: what is noted of them, and their trials.
--- a/libs/relay/src/target_pool.cc
+++ b/libs/relay/src/target_pool.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "almondlink/relay/target_probe.h"
 #include "target_connection.h"
-#include "target_probe.h"
 
 namespace almondlink::relay {
 
--- a/libs/relay/src/target_probe.cc
+++ b/libs/relay/src/target_probe.cc
@@ -1,4 +1,4 @@
-#include "target_probe.h"
+#include "almondlink/relay/target_probe.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
--- a/libs/relay/tests/content_digest_test.cc
+++ b/libs/relay/tests/content_digest_test.cc
@@ -1,4 +1,4 @@
-#include "libs/relay/src/content_digest.h"
+#include "almondlink/relay/content_digest.h"
 
 #include <catch2/catch.hpp>
 #include <vector>
--- a/libs/server/tests/answer_reader_test.cc
+++ b/libs/server/tests/answer_reader_test.cc
@@ -94,8 +94,7 @@
     "foreign\r\n\r\n",
     "\r\n",
     std::string("\0\0\0\0", 4),
-    "HTTP/1.1 503 Service Unavailable\r\nAlmondlink-Verdict: not-run\r\n"
-    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nAlmondlink-Verdict: not-run\r\n\r\n",
 };
 
 TEST_CASE("whatever was left on a connection is delivered to nobody") {
--- a/libs/wire/include/almondlink/wire/messages.generated.h
+++ b/libs/wire/include/almondlink/wire/messages.generated.h
@@ -31,6 +31,7 @@
   kBundleSnapshot = 17,
   kLogPage = 18,
   kLogAppended = 19,
+  kEndsNews = 21,
   kMemberRecord = 20,
 };
 
@@ -360,6 +361,30 @@
   std::uint64_t offset = 0;
 };
 
+/// What is known of one request that targets ended under.
+struct EndsEntry {
+  /// Digest: of the path.
+  std::uint64_t path = 0;
+  /// Digest: first half.
+  std::uint64_t high = 0;
+  /// Digest: second half.
+  std::uint64_t low = 0;
+  /// A target lived through a run; the rest holds no more.
+  bool is_whole = false;
+  /// Hashes of the starts of targets that ended.
+  std::vector<std::uint64_t> starts;
+  /// Those that ended while it was on trial.
+  std::uint32_t failed_trials = 0;
+  /// Time since the last end.
+  std::int64_t age_ms = 0;
+};
+
+/// Gossip: requests that targets ended under, or lived through.
+struct EndsNews {
+  /// One for each request.
+  std::vector<EndsEntry> entries;
+};
+
 /// Log record: a node announces itself.
 struct MemberRecord {
   /// The node.
@@ -472,6 +497,11 @@
 Result<LogAppended> DecodeLogAppended(const std::uint8_t* data,
                                       std::size_t size);
 /// Encodes as one CBOR array. Takes the message so that bodies move.
+std::vector<std::uint8_t> Encode(EndsNews message);
+/// Decodes; a missing trailing field keeps its default, further ones
+/// are ignored. Errors: kBadMessage.
+Result<EndsNews> DecodeEndsNews(const std::uint8_t* data, std::size_t size);
+/// Encodes as one CBOR array. Takes the message so that bodies move.
 std::vector<std::uint8_t> Encode(MemberRecord message);
 /// Decodes; a missing trailing field keeps its default, further ones
 /// are ignored. Errors: kBadMessage.
--- a/libs/wire/src/messages.generated.cc
+++ b/libs/wire/src/messages.generated.cc
@@ -467,6 +467,41 @@
   ReadNext(cursor, message.offset);
 }
 
+static Tree Build(EndsEntry message) {
+  Tree tree = Tree::array();
+  tree.push_back(Build(std::move(message.path)));
+  tree.push_back(Build(std::move(message.high)));
+  tree.push_back(Build(std::move(message.low)));
+  tree.push_back(Build(std::move(message.is_whole)));
+  tree.push_back(Build(std::move(message.starts)));
+  tree.push_back(Build(std::move(message.failed_trials)));
+  tree.push_back(Build(std::move(message.age_ms)));
+  return tree;
+}
+
+static void Read(Tree& tree, EndsEntry& message) {
+  Cursor cursor(tree, 0);
+  ReadNext(cursor, message.path);
+  ReadNext(cursor, message.high);
+  ReadNext(cursor, message.low);
+  ReadNext(cursor, message.is_whole);
+  ReadNext(cursor, message.starts);
+  ReadNext(cursor, message.failed_trials);
+  ReadNext(cursor, message.age_ms);
+}
+
+static Tree Build(EndsNews message) {
+  Tree tree = Tree::array();
+  tree.push_back(static_cast<std::uint32_t>(Tag::kEndsNews));
+  tree.push_back(Build(std::move(message.entries)));
+  return tree;
+}
+
+static void Read(Tree& tree, EndsNews& message) {
+  Cursor cursor(tree, 1);
+  ReadNext(cursor, message.entries);
+}
+
 static Tree Build(MemberRecord message) {
   Tree tree = Tree::array();
   tree.push_back(static_cast<std::uint32_t>(Tag::kMemberRecord));
@@ -643,6 +678,14 @@
   return DecodeAs<LogAppended>(data, size, Tag::kLogAppended);
 }
 
+std::vector<std::uint8_t> Encode(EndsNews message) {
+  return ToCbor(Build(std::move(message)));
+}
+
+Result<EndsNews> DecodeEndsNews(const std::uint8_t* data, std::size_t size) {
+  return DecodeAs<EndsNews>(data, size, Tag::kEndsNews);
+}
+
 std::vector<std::uint8_t> Encode(MemberRecord message) {
   return ToCbor(Build(std::move(message)));
 }
--- a/test/process/relay_frames_test.cc
+++ b/test/process/relay_frames_test.cc
@@ -240,7 +240,8 @@
 
   void TakeFrames(std::string& input, Tcp::socket& socket) {
     bool is_bad = false;
-    while (const std::optional<RawFrame> frame = relay::NextFrame(input, is_bad)) {
+    while (const std::optional<RawFrame> frame =
+               relay::NextFrame(input, is_bad)) {
       const bool is_question = frame->type == FrameType::kWantPolicy;
       const bool is_ping = frame->type == FrameType::kPing;
       input.erase(0, frame->size);
--- a/test/process/relay_split_test.cc
+++ b/test/process/relay_split_test.cc
@@ -135,6 +135,7 @@
   std::this_thread::sleep_for(std::chrono::seconds(1));
   const Clock::time_point begin = Clock::now();
   std::vector<Restart> restarts;
+  restarts.reserve(kLargeNodes);
   for (int node = 0; node < kLargeNodes; ++node) {
     restarts.push_back(split.RestartNode(node));
   }
--- a/test/process/second_answer_test.cc
+++ b/test/process/second_answer_test.cc
@@ -88,6 +88,7 @@
     std::atomic<int> answered{0};
     std::atomic<int> foreign{0};
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&]() {
         standins::BlockingHttp connection = shop.cluster.Connect(*shop.shop);
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -23,8 +23,6 @@
   int slots = 16;
   int work_ms = 1;
   std::string calls = {};
-  /// Path prefix of requests that end the target.
-  std::string deadly = {};
   bool has_log = true;
   /// Extra lines for sections, for example "[mesh]" -> "link_ping = 100ms".
   std::map<std::string, std::string> extra = {};
@@ -32,6 +30,8 @@
   bool has_target = true;
   /// The default intervals instead of the short ones of tests.
   bool is_production = false;
+  /// Path prefix of requests that end the target.
+  std::string deadly = {};
 };
 
 /// A target and its node.
