--- a/test/process/relay_frames_test.cc
+++ b/test/process/relay_frames_test.cc
@@ -29,8 +29,14 @@
 
 constexpr std::uint64_t kLaterVersion = 99;
 
-const std::vector<RouteSpec> kRoutes = {
-    {"stock", "stock.example", "/stock/", "stock"}};
+const std::vector<RouteSpec> kRoutes = []() {
+  RouteSpec route;
+  route.name = "stock";
+  route.host = "stock.example";
+  route.prefix = "/stock/";
+  route.service = "stock";
+  return std::vector<RouteSpec>{route};
+}();
 
 Tcp::endpoint Loopback(int port) {
   return {boost::asio::ip::make_address("127.0.0.1"),
