Target client: a late connect timer does not call a sent request not run

What callers saw: connect-failed, *not run*, for a request that ran, after the node stood still past the time limit of a connect (a suspended or starved host).

Cause: connect and timer due in the same turn of the loop; the connect's handler sends the request and cancels the timer, whose handler is queued already. Test first, a loop that stands still for 30 ms with a limit of 10 ms: 20 of 20 rounds told not run although the target ran the request. The same elsewhere: the relay's connections and the links between nodes ask what was sent; safe.

--- a/libs/server/src/target_client.cc
+++ b/libs/server/src/target_client.cc
@@ -193,7 +193,9 @@
         this->loop, std::chrono::milliseconds(wait.count));
     timer->async_wait(
         [self = this->shared_from_this(), exchange](beast::error_code error) {
-          if (!error && self->IsLive(exchange)) {
+          // Both may be due at once after a standstill, and the connect's
+          // handler may have sent the request already.
+          if (!error && self->IsLive(exchange) && !exchange->is_handed_over) {
             self->Finish(exchange, ErrorKind::kConnectFailed);
           }
         });
--- a/libs/server/tests/target_client_test.cc
+++ b/libs/server/tests/target_client_test.cc
@@ -1,5 +1,6 @@
 #include "almondlink/server/target_client.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -58,7 +59,7 @@
     this->thread.join();
   }
 
-  int connections = 0;
+  std::atomic<int> requests{0};
 
  private:
   void Serve() {
@@ -69,7 +70,6 @@
       if (error) {
         return;
       }
-      ++this->connections;
       this->ServeConnection(socket);
     }
   }
@@ -83,6 +83,7 @@
       if (error) {
         return;
       }
+      ++this->requests;
       const std::string id(request["Almondlink-Attempt-Id"]);
       if (request.target() != "/first") {
         const std::string field = this->script.returns_ids
@@ -192,6 +193,39 @@
   }
 }
 
+TEST_CASE("a request that was sent is not called not run by a late timer") {
+  // The loop stands still until the connect and its time limit are both due.
+  constexpr int kRounds = 20;
+  constexpr Millis kConnectTimeout{10};
+  constexpr std::chrono::milliseconds kStandstill{30};
+  for (int round = 0; round < kRounds; ++round) {
+    asio::io_context loop;
+    Script script;
+    ScriptedTarget target(script);
+    TargetClientConfig config;
+    config.address = {"127.0.0.1", kPort};
+    config.connect_timeout = kConnectTimeout;
+    TargetClient client(loop, config);
+    TargetRequest request;
+    request.method = "GET";
+    request.target = "/sent";
+    TargetAnswer answer;
+    bool is_answered = false;
+    client.Send(std::move(request), [&](TargetAnswer result) {
+      answer = std::move(result);
+      is_answered = true;
+    });
+    std::this_thread::sleep_for(kStandstill);
+    while (!is_answered) {
+      loop.restart();
+      loop.run_one();
+    }
+    // Time for a request that was written to arrive.
+    std::this_thread::sleep_for(kStandstill);
+    CHECK((answer.error == ErrorKind::kNone || target.requests == 0));
+  }
+}
+
 TEST_CASE("ids keep a connection, an answer without one ends it") {
   for (const bool returns_ids : {true, false}) {
     for (const bool needs_no_id : {true, false}) {
