Ends of targets, own interface: the place of a trial moves on with time

Found on reading: the place followed from the digest alone, so where that target is down for long, an innocent request that two targets ended under would have been held for its record's ten minutes or more.

--- a/almondlinkd/target_ends.cc
+++ b/almondlinkd/target_ends.cc
@@ -16,6 +16,9 @@
 constexpr Millis kTellFor{3000};
 /// When to come back while another one like it is on trial.
 constexpr Millis kTrialWait{200};
+/// Time for which one target is the place of a request's trials. Hosts whose
+/// clocks differ may choose two at its ends, which costs one more end at most.
+constexpr Millis kPlaceTurn{5000};
 /// Requests in one datagram.
 constexpr std::size_t kMostTold = 32;
 
@@ -59,12 +62,15 @@
          !control::KnowsPath(relay::PathHashOf(call.path), this->table);
 }
 
-/// The same on all nodes that see the same targets.
+/// The same on all nodes that see the same targets. Moves on with time, so that
+/// a target that is down for long holds nobody's request.
 std::string TargetEnds::PlaceOf(const control::RequestDigest& digest) const {
+  const auto turn =
+      static_cast<std::uint64_t>(WallNow().count / kPlaceTurn.count);
   std::string place;
   std::uint64_t highest = 0;
   for (const std::string& node : this->hooks.places()) {
-    const std::uint64_t rank = StableHash(node, digest.low);
+    const std::uint64_t rank = StableHash(node, digest.low + turn);
     if (place.empty() || rank > highest) {
       highest = rank;
       place = node;
