--- a/test/process/ends_test.cc
+++ b/test/process/ends_test.cc
@@ -131,6 +131,7 @@
   cluster.Release(ShopBundle(1));
   cluster.WaitReady(kTargets);
   std::vector<std::unique_ptr<Keeper>> keepers;
+  keepers.reserve(kTargets);
   for (Instance* shop : shops) {
     keepers.push_back(std::make_unique<Keeper>(cluster, *shop));
   }
