--- a/almondlink/command.h
+++ b/almondlink/command.h
@@ -36,6 +36,7 @@
 std::vector<Command> UsageCommands();
 std::vector<Command> ReplayCommands();
 std::vector<Command> ExplainCommands();
+std::vector<Command> FleetCommands();
 
 }  // namespace almondlink::tool
 
--- a/almondlink/main.cc
+++ b/almondlink/main.cc
@@ -21,7 +21,8 @@
   for (const auto& part :
        {almondlink::tool::BundleCommands(), almondlink::tool::NodeCommands(),
         almondlink::tool::UsageCommands(), almondlink::tool::ReplayCommands(),
-        almondlink::tool::ExplainCommands()}) {
+        almondlink::tool::ExplainCommands(),
+        almondlink::tool::FleetCommands()}) {
     all.insert(all.end(), part.begin(), part.end());
   }
   return all;
--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -57,6 +57,10 @@
 /// Other nodes considered this node failed; it reported that it is alive.
 constexpr Event kEventRefuted{305, Level::kWarning, "suspicion-refuted",
                               Volume::kRare};
+/// From now on this node reports its load to `node`, which adds up the loads of
+/// a part of the zone; empty: it tells every node its load.
+constexpr Event kEventAggregatorChosen{306, Level::kInfo, "aggregator-chosen",
+                                       Volume::kRare};
 /// This target's pressure level changed (0 to 1024 ranks shed).
 constexpr Event kEventPressure{400, Level::kInfo, "pressure-changed",
                                Volume::kRare};
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -201,6 +201,9 @@
   /// fails a part of them in proportion; 0: failures do not matter to the
   /// choice.
   double failing_weight;
+  /// Up to this many nodes each tells its load to every other one. In larger
+  /// fleets loads are added up by groups, and each node gets the sums.
+  std::int64_t direct_nodes;
   /// Where a target's own failures stand out from the service's others, a
   /// request there counts as longer by so many of its latency targets, times
   /// that part. 0: such failures do not matter to the choice.
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -133,6 +133,8 @@
        SettingSlot{&settings.decisions.place_by_time}},
       {"decisions", "failing_weight", "10", 0.0, 1000.0,
        SettingSlot{&settings.decisions.failing_weight}},
+      {"decisions", "direct_nodes", "128", 1.0, 100000.0,
+       SettingSlot{&settings.decisions.direct_nodes}},
       {"decisions", "error_targets", "1", 0.0, 100.0,
        SettingSlot{&settings.decisions.error_targets}},
       {"decisions", "repeat_used", "0.9", 0.0, 1.0,
--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -71,6 +71,9 @@
 void AddRootRate(const RootRate& rate,
                  std::map<std::uint32_t, RootTotals>& sums);
 
+/// Adds totals over some nodes to the totals of the same route.
+void AddRootTotals(const RootTotals& added, RootTotals& sum);
+
 /// Mean calls at a service per root request, 0 for a service that the chains do
 /// not reach; nothing if no node has counted a chain.
 std::optional<double> CountedCallsPerRoot(const RootTotals& sum,
--- a/libs/control/src/root_rates.cc
+++ b/libs/control/src/root_rates.cc
@@ -113,6 +113,15 @@
   }
 }
 
+void AddRootTotals(const RootTotals& added, RootTotals& sum) {
+  sum.offered_per_s += added.offered_per_s;
+  sum.admitted_per_s += added.admitted_per_s;
+  sum.counted_per_s += added.counted_per_s;
+  for (const auto& [service, calls] : added.calls_per_s) {
+    sum.calls_per_s[service] += calls;
+  }
+}
+
 std::optional<double> CountedCallsPerRoot(const RootTotals& sum,
                                           std::uint32_t service) {
   if (sum.counted_per_s <= 0) {
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -17,6 +17,7 @@
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
+#include "almondlink/relay/load_exchange.h"
 #include "almondlink/relay/peer_table.h"
 #include "almondlink/relay/quarantine_exchange.h"
 #include "almondlink/relay/quota_exchange.h"
@@ -50,7 +51,8 @@
   /// All arguments must outlive the object.
   EntryCalls(const RelaySettings& settings,
              PeerTable& peers,
-             ServedCalls& served);
+             ServedCalls& served,
+             const LoadExchange& loads);
   ~EntryCalls();
   EntryCalls(const EntryCalls&) = delete;
   EntryCalls& operator=(const EntryCalls&) = delete;
@@ -163,6 +165,7 @@
                           const PeerPointer& peer,
                           const AnswerFrame& frame);
   control::RepeatCounts SumRepeatCounts(Millis now, const std::string& service);
+  bool IsCountedDirectly(const Peer& peer) const;
   /// Queues a call that was not sent yet until its service has a target.
   /// Returns false if it may not wait any longer.
   bool QueueForTarget(const CallPointer& call);
@@ -207,6 +210,9 @@
   void TimeOut(const CallPointer& call);
   control::RepeatRules CurrentRepeatRules() const;
   control::RepeatAllowance& AllowanceOf(const std::string& service);
+  void AddTotals(Millis now,
+                 std::map<std::string, control::ServiceCapacity>& capacities,
+                 std::map<std::uint32_t, control::RootTotals>& roots);
   void LogShareChanges();
   /// Id of the request that made this call; empty for a root request.
   std::string ParentOf(const Call& call) const;
@@ -217,6 +223,7 @@
   const RelaySettings& settings;
   PeerTable& peers;
   ServedCalls& served;
+  const LoadExchange& loads;
   policy::RouteTablePointer table;
   control::ChainAdmission admission;
   QuotaExchange quotas;
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -9,6 +9,7 @@
 
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/demand_meter.h"
+#include "almondlink/control/load_sums.h"
 #include "almondlink/control/quarantine.h"
 #include "almondlink/control/quota_lending.h"
 #include "almondlink/control/repeat_allowance.h"
@@ -53,6 +54,11 @@
   kTrialRequest = 18,
   kTrialResponse = 19,
   kTrialEnded = 20,
+  /// Load of a node for its aggregator, sum over the nodes of an aggregator,
+  /// and total over all, see almondlink/control/load_sums.h.
+  kLoadReport = 21,
+  kLoadSums = 22,
+  kLoadTotals = 23,
 };
 
 /// Reported lifecycle state of a target instance. An instance never returns to
@@ -111,17 +117,21 @@
   /// if the sender does not know one.
   std::uint64_t previous_incarnation = 0;
   std::vector<ServiceRepeats> previous_repeats;
+  /// Whether the sender receives the repeat counts of the receiver; if not,
+  /// `previous_repeats` tells nothing. Nodes below kVersionLoadSums always do.
+  bool has_repeat_counts = true;
 };
 
 /// Protocol versions by the feature that they introduced, and the version of
 /// this node: load frames; requests for a missing policy, which is no longer
 /// pushed to such nodes; loans of quota tokens; exchange of requests that crash
-/// targets.
+/// targets; sums of loads.
 constexpr std::uint32_t kVersionLoadFrames = 1;
 constexpr std::uint32_t kVersionPolicyPull = 2;
 constexpr std::uint32_t kVersionQuotaLending = 3;
 constexpr std::uint32_t kVersionQuarantine = 4;
-constexpr std::uint32_t kProtocolVersion = kVersionQuarantine;
+constexpr std::uint32_t kVersionLoadSums = 5;
+constexpr std::uint32_t kProtocolVersion = kVersionLoadSums;
 
 /// State of a node and of the target beside it, as it is reported to other
 /// nodes.
@@ -151,6 +161,9 @@
   bool has_source = false;
   /// Share of the target's answers that are its own failures, 0 to 1.
   double error_rate = 0;
+  /// The load of the node is part of the sums; it is sent to this node only
+  /// with answers, and its demand, roots and repeats are empty.
+  bool is_load_summed = false;
 };
 
 /// Identifies a report of an instance: its start time and the report's sequence
@@ -174,12 +187,32 @@
   double error_rate = 0;
 };
 
+/// Load of a node for its aggregator.
+struct LoadReportFrame {
+  /// The load is to be part of the sums. Otherwise the sender sends it to all
+  /// nodes directly, and only asks for the totals.
+  bool is_counted = false;
+  /// The sender reports to another aggregator from now on.
+  bool is_last = false;
+  /// Service of the target, as returned by ServiceKeyOf(); 0 if there is none.
+  std::uint32_t service = 0;
+  /// 0 unless the target accepts calls.
+  std::uint32_t slots = 0;
+  LoadFrame load;
+};
+
+/// The load as the sums use it.
+control::NodeLoad ToNodeLoad(const LoadReportFrame& report);
+
 /// Extracts the load of a state.
 LoadFrame LoadOf(const StateFrame& state);
 /// Replaces the load of a state. A load without call chains keeps those of the
 /// state.
 void ApplyLoad(LoadFrame load, StateFrame& state);
 
+/// The state without demand, roots and repeats if its load is summed.
+StateFrame WithoutSummed(StateFrame state);
+
 /// Whether two states are equal except for their load and the number of the
 /// last report, which matters only for a draining instance.
 bool EqualExceptLoad(const StateFrame& a, const StateFrame& b);
@@ -269,8 +302,10 @@
   /// Runs that the call caused, here and at services further down the chain;
   /// empty from an older node.
   control::CallCounts run_counts;
-  /// See StateFrame::error_rate; 0 from an older node.
+  /// See StateFrame; 0 from an older node.
   double error_rate = 0;
+  double target_work_ms = 0;
+  double target_calls_per_run = 0;
 };
 
 /// A further part of a long answer's body.
@@ -370,6 +405,11 @@
 void Append(const TrialRequestFrame& frame, std::string& out);
 void Append(const TrialResponseFrame& frame, std::string& out);
 void Append(const TrialEndedFrame& frame, std::string& out);
+void Append(const LoadReportFrame& frame, std::string& out);
+/// `type`: kLoadSums or kLoadTotals.
+void AppendSums(FrameType type,
+                const control::LoadSums& sums,
+                std::string& out);
 void AppendPolicy(std::string_view policy, std::string& out);
 void AppendCancel(std::uint32_t id, std::string& out);
 void AppendPing(std::string& out);
@@ -394,6 +434,9 @@
 bool Decode(std::string_view payload, TrialRequestFrame& frame);
 bool Decode(std::string_view payload, TrialResponseFrame& frame);
 bool Decode(std::string_view payload, TrialEndedFrame& frame);
+bool Decode(std::string_view payload, LoadReportFrame& frame);
+/// Decodes both kLoadSums and kLoadTotals frames.
+bool Decode(std::string_view payload, control::LoadSums& sums);
 bool DecodeCancel(std::string_view payload, std::uint32_t& id);
 bool DecodeStateConfirmed(std::string_view payload, ReportId& report);
 /// Decodes both kPolicyRequest and kPolicyVersion frames.
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "almondlink/base/clock.h"
@@ -41,6 +42,10 @@
   /// last; 0 if none is known.
   std::uint64_t previous_incarnation = 0;
   std::vector<ServiceRepeats> previous_repeats;
+  /// Whether `reported.repeats` and `previous_repeats` are the counts of the
+  /// peer: a peer whose load is summed reports them only to its aggregator.
+  bool has_repeat_counts = true;
+  bool has_previous_repeats = true;
   bool is_self = false;
   /// The link that this node dialled; null if not connected.
   PeerLinkPointer link;
@@ -54,8 +59,10 @@
   /// Calls sent to it since `reported_at`, which its reported load does not
   /// include.
   std::uint32_t sent_since_report = 0;
-  /// Calls of this node that are waiting for its answer.
+  /// Calls of this node that are waiting for its answer, and since when there
+  /// has been at least one.
   std::uint32_t outstanding = 0;
+  Millis awaited_since;
   /// When a request other than a call was sent that it must answer at once.
   Millis last_query_at;
   /// Nothing was received on its link for too long while answers are due.
@@ -144,9 +151,16 @@
   void AnnounceNodes(const std::vector<NodeAddress>& nodes);
 
   /// Sends the current state, or only what changed of it, on all accepted
-  /// links.
+  /// links. A load alone is not sent to nodes that receive it with the sums.
   void AnnounceState();
 
+  /// Sends the load on all accepted links, for a change that callers must know
+  /// of.
+  void AnnounceLoad();
+
+  /// The error rate that was last sent to all nodes.
+  double AnnouncedErrorRate() const { return this->announced_error_rate; }
+
   /// Dials nodes without a link, reports state when it is due, checks silent
   /// links and requests missing policies. Call it every 100 ms.
   void Tick(Millis now);
@@ -159,6 +173,8 @@
   }
   const PeerPointer& SelfPeer() const { return this->self; }
   const std::vector<PeerPointer>& All() const { return this->peers; }
+  /// The node of that name, or null if it is not known.
+  PeerPointer FindPeer(const std::string& name) const;
   /// Nodes beside targets of `service`, including this one. Valid until the
   /// table changes.
   const std::vector<PeerPointer>& PeersOfService(const std::string& service);
@@ -186,6 +202,12 @@
   };
   Reachability MeasureReachability(Millis now) const;
 
+  /// Name of the node at the other end of an accepted link; empty if the link
+  /// is closed or its hello has not arrived.
+  std::string NodeOfAcceptedLink(LinkId link) const {
+    const auto found = this->accepted.find(link);
+    return found == this->accepted.end() ? std::string() : found->second.node;
+  }
   /// The accepted link with that id, or null if it is closed.
   PeerLinkPointer FindAcceptedLink(LinkId link) const {
     const auto found = this->accepted.find(link);
@@ -221,6 +243,12 @@
   void RecordDrainingInstance(const PeerPointer& peer);
   static void UpdateIncarnation(std::uint64_t incarnation, Peer& peer);
   void SendState(AcceptedLink& entry);
+  void Announce(bool is_load_urgent);
+  void AddToIndex(const PeerPointer& peer);
+  void RemoveFromIndex(const PeerPointer& peer);
+  void Rename(const PeerPointer& peer, const NodeAddress& node);
+  PeerPointer FindNode(const NodeAddress& node) const;
+  bool IsLinkDead(Millis now, const Peer& peer) const;
   LoadFrame MakeLoadFrame(const StateFrame& state);
   std::vector<NodeAddress> SampleNodes(const std::string& to);
   void DropLink(const PeerPointer& peer);
@@ -233,6 +261,7 @@
   bool OnNodes(std::string_view payload);
   void ServePolicyRequests();
   void AnnouncePolicyVersion();
+  std::unordered_set<std::string> RingSuccessors() const;
   void RemoveUnreachable(Millis now);
   void CheckSilence(Millis now, const PeerPointer& peer);
 
@@ -243,6 +272,8 @@
   boost::asio::steady_timer accept_pause;
   PeerPointer self;
   std::vector<PeerPointer> peers;
+  std::unordered_map<std::string, PeerPointer> by_name;
+  std::unordered_map<std::string, PeerPointer> by_address;
   std::map<LinkId, AcceptedLink> accepted;
   std::unordered_map<std::string, std::vector<PeerPointer>> by_service;
   /// Instances of other nodes that were reported as draining, by node; the
@@ -265,9 +296,12 @@
   /// Call chains that were last sent on all links, and when.
   std::vector<control::RootRate> announced_chains;
   Millis chains_announced_at;
+  double announced_error_rate = 0;
   /// Incremented when anything in this node's state except its load changes.
   std::uint64_t state_revision = 1;
   std::mt19937 random;
+  /// Nodes named in hellos since the start.
+  std::size_t nodes_named = 0;
   Millis last_announced;
   Millis last_tick;
   Millis silence_tolerated_until;
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -16,6 +16,7 @@
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
 #include "almondlink/relay/entry_calls.h"
+#include "almondlink/relay/load_exchange.h"
 #include "almondlink/relay/peer_table.h"
 #include "almondlink/relay/relay_settings.h"
 #include "almondlink/relay/served_calls.h"
@@ -113,6 +114,11 @@
   }
   /// Whether this node is one of the few that poll the policy source.
   bool FollowsSource() const { return this->peers.FollowsSource(); }
+  /// Whether there is a link to another node.
+  bool IsConnected() const { return this->peers.CountReachable() > 1; }
+  /// Whether the links to other nodes are complete after the start, as far as
+  /// can be told: no more have come for a moment.
+  bool IsSettled() const { return this->is_settled; }
   /// Sets whether the policy source can be read from here; other nodes take
   /// over while it cannot.
   void SetHasSource(bool has_source_in);
@@ -154,7 +160,9 @@
   void LogInstance() const;
   void ScheduleTick();
   void Tick();
+  void UpdateSettled(Millis now);
   void ContinueStop(Millis now);
+  void AnnounceErrorRate();
   void AddSlotTime();
   void WriteChains(MetricText& out) const;
 
@@ -163,6 +171,7 @@
   RelayHooks hooks;
   ServedCalls served;
   PeerTable peers;
+  LoadExchange loads;
   EntryCalls entry;
   CallerListener callers;
   boost::asio::steady_timer tick_timer;
@@ -174,6 +183,11 @@
   /// on it; a larger one is the delay of a frame on the link.
   std::map<LinkId, std::int64_t> min_clock_offsets;
   std::uint32_t ticks = 0;
+  /// When the node started, and when the number of reachable nodes last rose.
+  Millis started_at;
+  std::uint32_t reachable_nodes = 0;
+  Millis reachable_since;
+  bool is_settled = false;
   /// Slot time that was available and that was used at this target while
   /// requests were refused because its service was short of capacity.
   double short_available_s = 0;
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -48,6 +48,9 @@
   /// Cost of a target's own failure in multiples of the request's latency
   /// target, where the service's other targets fail less.
   double error_targets = 1;
+  /// Number of nodes up to which each sends its load to every other one. In a
+  /// larger fleet, loads are summed by groups, see control/load_sums.h.
+  std::uint32_t direct_nodes = 128;
 };
 
 /// Configuration of a relay.
--- a/libs/relay/src/entry_admission.cc
+++ b/libs/relay/src/entry_admission.cc
@@ -79,6 +79,11 @@
   return std::max(kMinRetryAfter, spread);
 }
 
+/// Whether the load of the node is known from itself and not from the sums.
+bool EntryCalls::IsCountedDirectly(const Peer& peer) const {
+  return peer.is_self ? !this->loads.IsSummed() : !peer.reported.is_load_summed;
+}
+
 void EntryCalls::UpdateAdmission(Millis now) {
   this->RecordPolicyContact(now);
   control::UpdateRootRates(now, this->admission);
@@ -91,21 +96,30 @@
       continue;
     }
     const StateFrame& state = peer->reported;
-    const std::vector<control::RootRate> rates =
-        peer->is_self ? control::LocalRootRates(this->admission) : state.roots;
-    for (const control::RootRate& rate : rates) {
-      control::AddRootRate(rate, roots);
+    const bool is_counted = this->IsCountedDirectly(*peer);
+    if (is_counted && peer->is_self) {
+      for (const control::RootRate& rate :
+           control::LocalRootRates(this->admission)) {
+        control::AddRootRate(rate, roots);
+      }
+    } else if (is_counted) {
+      for (const control::RootRate& rate : state.roots) {
+        control::AddRootRate(rate, roots);
+      }
     }
     if (state.instance.empty()) {
       continue;
     }
-    control::TargetCapacity target;
     const bool is_open =
         state.state == InstanceState::kReady && !state.is_stopping;
-    target.slots = is_open ? state.slots : 0;
     if (is_open) {
       this->last_available[state.service] = now;
     }
+    if (!is_counted) {
+      continue;
+    }
+    control::TargetCapacity target;
+    target.slots = is_open ? state.slots : 0;
     target.waiting = state.waiting;
     target.work_ms = state.work_ms;
     target.error_rate = counts_errors ? state.error_rate : 0;
@@ -115,6 +129,7 @@
     capacity.key = ServiceKeyOf(state.service);
     capacity.targets.push_back(std::move(target));
   }
+  this->AddTotals(now, capacities, roots);
   std::vector<control::ServiceCapacity> services;
   services.reserve(capacities.size());
   for (auto& [service, capacity] : capacities) {
@@ -124,6 +139,30 @@
   this->LogShareChanges();
 }
 
+/// Adds the nodes whose loads are summed.
+void EntryCalls::AddTotals(
+    Millis now,
+    std::map<std::string, control::ServiceCapacity>& capacities,
+    std::map<std::uint32_t, control::RootTotals>& roots) {
+  const control::LoadSums* totals = this->loads.Totals(now);
+  if (totals == nullptr) {
+    return;
+  }
+  for (const auto& [service, last] : this->last_available) {
+    const auto sums = totals->services.find(ServiceKeyOf(service));
+    if (sums == totals->services.end()) {
+      continue;
+    }
+    control::ServiceCapacity& capacity = capacities[service];
+    capacity.service = service;
+    capacity.key = sums->first;
+    capacity.targets.push_back(control::CombinedTarget(sums->second));
+  }
+  for (const auto& [route, sums] : totals->roots) {
+    control::AddRootTotals(sums, roots[route]);
+  }
+}
+
 /// Logs each share that has moved by kLoggedShareStep since it was last logged.
 void EntryCalls::LogShareChanges() {
   for (const auto& [route, state] : this->admission.routes) {
--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -19,6 +19,13 @@
 /// A root request may wait at a target for half of its latency target: a longer
 /// wait would use up the time that its calls need.
 constexpr std::int64_t kRootWaitDivisor = 2;
+/// The load of a target that is told only with answers is used for this long.
+/// Without a limit, a target that was busy once would never get calls again.
+constexpr Millis kMaxLoadAge{2000};
+
+bool IsLoadKnown(Millis now, const Peer& peer) {
+  return !peer.reported.is_load_summed || now - peer.reported_at <= kMaxLoadAge;
+}
 
 }  // namespace
 
@@ -27,9 +34,13 @@
     --call->peer->outstanding;
   }
   call->peer = peer;
-  if (peer != nullptr) {
-    ++peer->outstanding;
+  if (peer == nullptr) {
+    return;
+  }
+  if (peer->outstanding == 0) {
+    peer->awaited_since = BootTimeNow();
   }
+  ++peer->outstanding;
 }
 
 /// Whether calls may be sent to the target beside the node.
@@ -54,6 +65,7 @@
 PeerPointer EntryCalls::ChoosePeer(const Call& call, bool is_among_refused) {
   const std::vector<PeerPointer>& members =
       this->peers.PeersOfService(call.service);
+  const Millis now = BootTimeNow();
   std::vector<control::PlacementTarget> views;
   views.reserve(members.size());
   for (const PeerPointer& peer : members) {
@@ -66,16 +78,19 @@
         std::find(names.begin(), names.end(), peer->node.name) != names.end();
     view.is_tried = is_named != is_among_refused;
     view.slots = std::max(1U, peer->reported.slots);
-    view.reported_load = peer->reported.running + peer->reported.waiting;
-    view.sent_since = peer->sent_since_report;
-    view.work_ms = peer->reported.work_ms;
+    if (IsLoadKnown(now, *peer)) {
+      view.reported_load = peer->reported.running + peer->reported.waiting;
+      view.sent_since = peer->sent_since_report;
+      view.work_ms = peer->reported.work_ms;
+    } else {
+      view.reported_load = peer->outstanding;
+    }
     view.health = peer->health;
     view.error_rate = peer->reported.error_rate;
     views.push_back(view);
   }
   const control::PlacementDraws draws{this->Draw(), this->Draw(), this->Draw(),
                                       this->Draw()};
-  const Millis now = BootTimeNow();
   control::PlacementRules rules = this->settings.decisions.placement;
   const auto latency_target =
       static_cast<double>(call.route->latency_target.count);
@@ -221,6 +236,11 @@
   peer->reported.running = frame.running;
   peer->reported.waiting = frame.waiting;
   peer->reported.error_rate = frame.error_rate;
+  if (peer->reported.is_load_summed) {
+    peer->reported.work_ms = frame.target_work_ms;
+    peer->reported.calls_per_run = frame.target_calls_per_run;
+    peer->reported_at = BootTimeNow();
+  }
   peer->sent_since_report = 0;
   const auto found = this->calls.find(frame.id);
   if (found == this->calls.end() || found->second->peer != peer) {
--- a/libs/relay/src/entry_calls.cc
+++ b/libs/relay/src/entry_calls.cc
@@ -21,10 +21,12 @@
 
 EntryCalls::EntryCalls(const RelaySettings& settings_in,
                        PeerTable& peers_in,
-                       ServedCalls& served_in)
+                       ServedCalls& served_in,
+                       const LoadExchange& loads_in)
     : settings(settings_in),
       peers(peers_in),
       served(served_in),
+      loads(loads_in),
       quotas(settings_in,
              peers_in,
              [this](policy::AccountKey account) {
--- a/libs/relay/src/entry_repeats.cc
+++ b/libs/relay/src/entry_repeats.cc
@@ -83,7 +83,8 @@
   control::RepeatCounts sums = control::WindowCounts(
       this->CurrentRepeatRules(), now, this->AllowanceOf(service));
   for (const PeerPointer& peer : this->peers.All()) {
-    if (peer->is_self || !peer->IsReachable()) {
+    if (peer->is_self || !peer->IsReachable() ||
+        !this->IsCountedDirectly(*peer)) {
       continue;
     }
     for (const ServiceRepeats& entry : peer->reported.repeats) {
@@ -95,6 +96,13 @@
       }
     }
   }
+  const control::RepeatSums others = this->loads.RepeatsOfOthers(key, now);
+  sums.requests += static_cast<std::uint32_t>(others.requests);
+  sums.requests_half_earlier +=
+      static_cast<std::uint32_t>(others.requests_half_earlier);
+  sums.requests_previous +=
+      static_cast<std::uint32_t>(others.requests_previous);
+  sums.repeats += static_cast<std::uint32_t>(others.repeats);
   return sums;
 }
 
--- a/libs/relay/src/frame_codec.h
+++ b/libs/relay/src/frame_codec.h
@@ -176,6 +176,10 @@
   return in.IsAtEnd() ? 0 : std::min(1.0, in.TakeVarintFraction());
 }
 
+/// Fields of a load, which are part of several frames.
+void PutLoad(const LoadFrame& load, Writer& out);
+void TakeLoad(Reader& in, LoadFrame& load);
+
 inline void PutAddress(const NodeAddress& node, Writer& out) {
   out.PutText(node.name);
   out.PutText(node.address);
--- a/libs/relay/src/frame_dispatch.cc
+++ b/libs/relay/src/frame_dispatch.cc
@@ -48,6 +48,10 @@
       this->entry.Quotas().OnQuotaRequest(link, request);
       return true;
     }
+    case FrameType::kLoadReport:
+      return this->loads.OnReport(link, frame.payload);
+    case FrameType::kLoadSums:
+      return this->loads.OnSums(link, frame.payload);
     case FrameType::kQuarantine:
     case FrameType::kTrialRequest:
     case FrameType::kTrialEnded:
@@ -105,6 +109,8 @@
       this->entry.Quotas().OnLoan(loan);
       return true;
     }
+    case FrameType::kLoadTotals:
+      return this->loads.OnTotals(peer, frame.payload);
     case FrameType::kTrialResponse: {
       TrialResponseFrame answer;
       if (!Decode(frame.payload, answer)) {
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -98,6 +98,19 @@
                 }));
 }
 
+void WriteLoads(const LoadExchange& loads, Millis now, MetricText& out) {
+  const control::LoadSums* totals = loads.Totals(now);
+  out.AddSingle("summed_nodes", "gauge",
+                "Nodes in the load totals that this node received last.",
+                totals == nullptr ? 0 : totals->nodes);
+  out.AddSingle("load_members", "gauge",
+                "Nodes that report their load to this one.",
+                static_cast<double>(loads.MemberCount()));
+  out.AddSingle("load_groups", "gauge",
+                "Aggregators that send this node their sums.",
+                static_cast<double>(loads.GroupCount()));
+}
+
 }  // namespace
 
 void RelayNode::WriteMetrics(MetricText& out) {
@@ -124,6 +137,7 @@
   this->WriteChains(out);
   WriteTarget(this->served, out);
   WritePeers(this->peers, out);
+  WriteLoads(this->loads, now, out);
   WriteQuarantine(this->entry, this->entry.Quarantine().Table(), out);
   out.AddSingle("follows_policy_source", "gauge",
                 "1 if this node polls the policy source for others.",
--- a/libs/relay/src/peer_frames.cc
+++ b/libs/relay/src/peer_frames.cc
@@ -110,6 +110,8 @@
     writer.PutVarint(frame.run_counts.entries[i].runs);
   }
   writer.PutVarintFraction(frame.error_rate);
+  writer.PutVarintFraction(frame.target_work_ms);
+  writer.PutVarintFraction(frame.target_calls_per_run);
 }
 
 bool Decode(std::string_view payload, AnswerFrame& frame) {
@@ -134,6 +136,8 @@
     control::AddRuns(runs, frame.run_counts);
   }
   frame.error_rate = TakeErrorRate(in);
+  frame.target_work_ms = in.IsAtEnd() ? 0 : in.TakeVarintFraction();
+  frame.target_calls_per_run = in.IsAtEnd() ? 0 : in.TakeVarintFraction();
   return in.IsGood();
 }
 
--- a/libs/relay/src/peer_link.cc
+++ b/libs/relay/src/peer_link.cc
@@ -15,8 +15,9 @@
 constexpr Millis kAckTimeout{2000};
 /// Maximum pending output of a link: some hundred answers to a slow peer.
 constexpr std::size_t kMaxPendingBytes = 16 * 1024 * 1024;
-/// Buffers larger than this are released when they become empty.
-constexpr std::size_t kMaxIdleCapacity = 16 * 1024;
+/// Buffers larger than this are released when they become empty. A node may
+/// have thousands of links, most of them idle.
+constexpr std::size_t kMaxIdleCapacity = 1024;
 
 }  // namespace
 
--- a/libs/relay/src/peer_policy.cc
+++ b/libs/relay/src/peer_policy.cc
@@ -198,20 +198,58 @@
   }
 }
 
+/// Names of the nodes at the distances 1, 2, 4, ... on the ring of this zone's
+/// nodes, ordered by hash.
+std::unordered_set<std::string> PeerTable::RingSuccessors() const {
+  std::vector<std::pair<std::uint64_t, const Peer*>> ring;
+  for (const PeerPointer& peer : this->peers) {
+    if (peer->is_self || (peer->IsReachable() &&
+                          peer->reported.zone == this->settings.zone.Value())) {
+      ring.emplace_back(StableHash(peer->node.name), peer.get());
+    }
+  }
+  std::sort(ring.begin(), ring.end());
+  const auto own =
+      std::find_if(ring.begin(), ring.end(),
+                   [](const auto& entry) { return entry.second->is_self; });
+  const auto place = static_cast<std::size_t>(own - ring.begin());
+  std::unordered_set<std::string> names;
+  for (std::size_t step = 1; step < ring.size(); step *= 2) {
+    names.insert(ring[(place + step) % ring.size()].second->node.name);
+  }
+  return names;
+}
+
 /// Announces a state of which only the policy version has changed. Nodes that
 /// have the rest receive just the version, a tenth of a state.
+///
+/// In a large fleet only the followers announce it to every node. Each of the
+/// others announces it to a few nodes of its zone, which may ask it for the
+/// policy: if all n nodes announced it to all, each version would cost n * n
+/// messages.
 void PeerTable::AnnouncePolicyVersion() {
+  const bool is_for_all =
+      !this->self->reported.is_load_summed || this->FollowsSource();
+  const std::unordered_set<std::string> chosen =
+      is_for_all ? std::unordered_set<std::string>() : this->RingSuccessors();
   std::string frame;
   AppendPolicyVersion(this->self->reported.policy_version, frame);
   std::string full_state;
   for (auto& [id, entry] : this->accepted) {
     const bool is_only_version_new =
         entry.announced_revision + 1 == this->state_revision;
+    const bool is_told = is_for_all ||
+                         entry.protocol_version < kVersionLoadSums ||
+                         chosen.count(entry.node) > 0;
+    if (is_only_version_new && !is_told) {
+      entry.announced_revision = this->state_revision;
+      continue;
+    }
     if (is_only_version_new && entry.protocol_version >= kVersionPolicyPull) {
       entry.link->OutputBuffer() += frame;
     } else {
       if (full_state.empty()) {
-        Append(this->self->reported, full_state);
+        Append(WithoutSummed(this->self->reported), full_state);
       }
       entry.link->OutputBuffer() += full_state;
     }
--- a/libs/relay/src/peer_state.cc
+++ b/libs/relay/src/peer_state.cc
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "almondlink/base/event_log.h"
@@ -14,13 +14,29 @@
 
 /// Maximum number of draining instances that are kept for each peer.
 constexpr std::size_t kMaxDrainingInstances = 16;
-/// Maximum number of other nodes named in a hello. A node receives a hello from
-/// each node that it meets, so it learns all n nodes after about log(n) of
-/// them.
-constexpr std::size_t kMaxNodesInHello = 16;
+/// Number of other nodes named in a hello until `kFirstNodes` were named, and
+/// from then on. A node receives a hello from each node that it meets, so it
+/// learns all n nodes after about log(n) of them; those are met first.
+constexpr std::size_t kNodesInFirstHellos = 16;
+constexpr std::size_t kNodesInLaterHellos = 2;
+constexpr std::size_t kFirstNodes = 1024;
+/// Draws for each node to be named; some draws name a node that is not linked.
+constexpr std::size_t kDrawsPerNode = 4;
 /// Call chains are sent again after this time, for nodes that missed a load.
 constexpr Millis kChainsInterval{3000};
 
+/// Removes what other nodes receive with the sums.
+void ClearSummed(LoadFrame& load) {
+  load.demand.clear();
+  load.roots.clear();
+  load.repeats.clear();
+}
+
+/// Whether a node of that version receives this node's load with the sums.
+bool IsToldBySums(const StateFrame& state, std::uint32_t protocol_version) {
+  return state.is_load_summed && protocol_version >= kVersionLoadSums;
+}
+
 void ClearChains(std::vector<control::RootRate>& roots) {
   for (control::RootRate& root : roots) {
     root.calls.clear();
@@ -35,23 +51,40 @@
   if (peer.node.incarnation != 0 && peer.node.incarnation != incarnation) {
     peer.previous_incarnation = peer.node.incarnation;
     peer.previous_repeats = peer.reported.repeats;
+    peer.has_previous_repeats = peer.has_repeat_counts;
   }
   peer.node.incarnation = incarnation;
 }
 
-/// Returns a random sample of the known nodes to name to the node `to`. If
+/// Returns a random sample of the linked nodes to name to the node `to`. If
 /// every node sent all of them to every other, the traffic at each start would
 /// grow with the cube of the number of nodes.
 std::vector<NodeAddress> PeerTable::SampleNodes(const std::string& to) {
-  std::vector<NodeAddress> known;
-  for (const PeerPointer& peer : this->peers) {
-    if (!peer->is_self && peer->link != nullptr && peer->node.name != to) {
-      known.push_back(peer->node);
+  const std::size_t wanted = this->nodes_named < kFirstNodes
+                                 ? kNodesInFirstHellos
+                                 : kNodesInLaterHellos;
+  std::vector<std::size_t> drawn;
+  if (this->peers.size() <= wanted * kDrawsPerNode) {
+    drawn.resize(this->peers.size());
+    std::iota(drawn.begin(), drawn.end(), 0);
+    std::shuffle(drawn.begin(), drawn.end(), this->random);
+  } else {
+    std::uniform_int_distribution<std::size_t> index(0, this->peers.size() - 1);
+    while (drawn.size() < wanted * kDrawsPerNode) {
+      drawn.push_back(index(this->random));
     }
+    std::sort(drawn.begin(), drawn.end());
+    drawn.erase(std::unique(drawn.begin(), drawn.end()), drawn.end());
+    std::shuffle(drawn.begin(), drawn.end(), this->random);
   }
   std::vector<NodeAddress> some;
-  std::sample(known.begin(), known.end(), std::back_inserter(some),
-              kMaxNodesInHello, this->random);
+  for (const std::size_t i : drawn) {
+    const Peer& peer = *this->peers[i];
+    if (some.size() < wanted && !peer.is_self && peer.link != nullptr &&
+        peer.node.name != to) {
+      some.push_back(peer.node);
+    }
+  }
   return some;
 }
 
@@ -61,16 +94,18 @@
   hello.zone = this->settings.zone.Value();
   hello.deployment = this->settings.deployment;
   hello.known_nodes = this->SampleNodes(to);
+  this->nodes_named += hello.known_nodes.size();
   hello.protocol_version = kProtocolVersion;
   const auto known = this->draining_instances.find(to);
   if (known != this->draining_instances.end()) {
     hello.draining_instances.assign(known->second.begin(), known->second.end());
   }
-  const auto receiver = std::find_if(
-      this->peers.begin(), this->peers.end(),
-      [&to](const PeerPointer& peer) { return peer->node.name == to; });
-  if (receiver != this->peers.end()) {
-    const Peer& peer = **receiver;
+  const PeerPointer receiver = this->FindPeer(to);
+  if (receiver != nullptr) {
+    const Peer& peer = *receiver;
+    hello.has_repeat_counts = peer.previous_incarnation != 0
+                                  ? peer.has_previous_repeats
+                                  : peer.has_repeat_counts;
     hello.known_incarnation = peer.node.incarnation;
     hello.previous_incarnation = peer.previous_incarnation;
     // If no later incarnation of it has reported, its last report is the
@@ -97,7 +132,7 @@
       hello.previous_incarnation != 0 ||
       (hello.known_incarnation != 0 &&
        hello.known_incarnation != this->self->node.incarnation);
-  if (has_previous) {
+  if (has_previous && hello.has_repeat_counts) {
     this->events.on_previous_repeats(hello.previous_repeats);
   }
   this->AddNode(hello.self);
@@ -211,7 +246,7 @@
   }
   if (hello.self.name != peer->node.name) {
     // Another node has this address now.
-    peer->node = hello.self;
+    this->Rename(peer, hello.self);
   }
   UpdateIncarnation(hello.self.incarnation, *peer);
   peer->protocol_version = hello.protocol_version;
@@ -234,7 +269,17 @@
                                   peer->reported.started_at != state.started_at;
   peer->has_reported = true;
   peer->dial_backoff = Millis{0};
+  // The counts of a summed node were received from it as a member, if at all.
+  const bool keeps_repeats = state.is_load_summed && peer->has_repeat_counts &&
+                             peer->reported.is_load_summed;
+  std::vector<ServiceRepeats> repeats = keeps_repeats
+                                            ? std::move(peer->reported.repeats)
+                                            : std::vector<ServiceRepeats>();
+  peer->has_repeat_counts = !state.is_load_summed || keeps_repeats;
   peer->reported = std::move(state);
+  if (keeps_repeats) {
+    peer->reported.repeats = std::move(repeats);
+  }
   peer->reported_at = BootTimeNow();
   peer->sent_since_report = 0;
   if (is_service_changed) {
@@ -246,7 +291,9 @@
   }
   this->RecordDrainingInstance(peer);
   this->events.on_state(peer, is_first);
-  this->RequestPolicy(peer->reported_at);
+  if (peer->reported.policy_version > this->self->reported.policy_version) {
+    this->RequestPolicy(peer->reported_at);
+  }
   return true;
 }
 
@@ -318,9 +365,12 @@
   if (is_load_only) {
     LoadFrame load = LoadOf(state);
     ClearChains(load.roots);
+    if (IsToldBySums(state, entry.protocol_version)) {
+      ClearSummed(load);
+    }
     Append(load, entry.link->OutputBuffer());
   } else {
-    Append(state, entry.link->OutputBuffer());
+    Append(WithoutSummed(state), entry.link->OutputBuffer());
     // Changes not yet counted in `state_revision` are sent again by
     // AnnounceState().
     entry.announced_revision = this->state_revision;
@@ -329,6 +379,14 @@
 }
 
 void PeerTable::AnnounceState() {
+  this->Announce(false);
+}
+
+void PeerTable::AnnounceLoad() {
+  this->Announce(true);
+}
+
+void PeerTable::Announce(bool is_load_urgent) {
   const StateFrame state = this->events.make_state();
   if (this->self->reported.service != state.service) {
     this->by_service.clear();
@@ -351,18 +409,30 @@
   this->self->reported_at = BootTimeNow();
   this->self->sent_since_report = 0;
   this->last_announced = this->self->reported_at;
+  if (is_changed || is_load_urgent || !state.is_load_summed) {
+    this->announced_error_rate = state.error_rate;
+  }
   std::string full_state;
   std::string load;
+  std::string summed_load;
   for (auto& [id, entry] : this->accepted) {
-    const bool is_up_to_date = entry.announced_revision == this->state_revision;
+    const bool is_load_only =
+        entry.announced_revision == this->state_revision &&
+        entry.protocol_version >= kVersionLoadFrames;
+    const bool is_summed = IsToldBySums(state, entry.protocol_version);
+    if (is_load_only && is_summed && !is_load_urgent) {
+      continue;
+    }
     std::string& frame =
-        is_up_to_date && entry.protocol_version >= kVersionLoadFrames
-            ? load
-            : full_state;
-    if (frame.empty() && &frame == &load) {
-      Append(this->MakeLoadFrame(state), load);
+        !is_load_only ? full_state : (is_summed ? summed_load : load);
+    if (frame.empty() && !is_load_only) {
+      Append(WithoutSummed(state), full_state);
+    } else if (frame.empty() && is_summed) {
+      LoadFrame brief = LoadOf(state);
+      ClearSummed(brief);
+      Append(brief, summed_load);
     } else if (frame.empty()) {
-      Append(state, full_state);
+      Append(this->MakeLoadFrame(state), load);
     }
     entry.announced_revision = this->state_revision;
     entry.link->OutputBuffer() += frame;
--- a/libs/relay/src/peer_state_frames.cc
+++ b/libs/relay/src/peer_state_frames.cc
@@ -104,6 +104,7 @@
   }
   writer.Put(frame.previous_incarnation);
   PutRepeats(frame.previous_repeats, writer);
+  writer.PutByte(frame.has_repeat_counts ? 1 : 0);
 }
 
 bool Decode(std::string_view payload, HelloFrame& frame) {
@@ -140,6 +141,7 @@
     in.Take(frame.previous_incarnation);
   }
   TakeRepeats(in, frame.previous_repeats);
+  frame.has_repeat_counts = in.IsAtEnd() || in.TakeByte() != 0;
   return in.IsGood();
 }
 
@@ -176,11 +178,21 @@
   state.error_rate = load.error_rate;
 }
 
+StateFrame WithoutSummed(StateFrame state) {
+  if (state.is_load_summed) {
+    state.demand.clear();
+    state.roots.clear();
+    state.repeats.clear();
+  }
+  return state;
+}
+
 bool EqualExceptLoadAndVersion(const StateFrame& a, const StateFrame& b) {
   return a.is_stopping == b.is_stopping && a.service == b.service &&
          a.zone == b.zone && a.instance == b.instance &&
          a.started_at == b.started_at && a.state == b.state &&
-         a.slots == b.slots && a.has_source == b.has_source;
+         a.slots == b.slots && a.has_source == b.has_source &&
+         a.is_load_summed == b.is_load_summed;
 }
 
 bool EqualExceptLoad(const StateFrame& a, const StateFrame& b) {
@@ -207,6 +219,16 @@
 
 void Append(const LoadFrame& frame, std::string& out) {
   Writer writer(FrameType::kLoad, out);
+  PutLoad(frame, writer);
+}
+
+bool Decode(std::string_view payload, LoadFrame& frame) {
+  Reader in(payload);
+  TakeLoad(in, frame);
+  return in.IsGood();
+}
+
+void PutLoad(const LoadFrame& frame, Writer& writer) {
   writer.PutVarint(frame.running);
   writer.PutVarint(frame.waiting);
   writer.PutVarintFraction(frame.work_ms);
@@ -228,8 +250,7 @@
   writer.PutVarintFraction(frame.error_rate);
 }
 
-bool Decode(std::string_view payload, LoadFrame& frame) {
-  Reader in(payload);
+void TakeLoad(Reader& in, LoadFrame& frame) {
   frame.running = in.TakeVarint32();
   frame.waiting = in.TakeVarint32();
   frame.work_ms = in.TakeVarintFraction();
@@ -249,7 +270,6 @@
   TakeRepeats(in, frame.repeats);
   TakeCalls(in, frame.roots);
   frame.error_rate = TakeErrorRate(in);
-  return in.IsGood();
 }
 
 void Append(const StateFrame& frame, std::string& out) {
@@ -283,6 +303,7 @@
   writer.PutByte(frame.has_source ? 1 : 0);
   PutCalls(frame.roots, writer);
   writer.PutVarintFraction(frame.error_rate);
+  writer.PutByte(frame.is_load_summed ? 1 : 0);
 }
 
 bool Decode(std::string_view payload, StateFrame& frame) {
@@ -320,6 +341,7 @@
   frame.has_source = !in.IsAtEnd() && in.TakeByte() != 0;
   TakeCalls(in, frame.roots);
   frame.error_rate = TakeErrorRate(in);
+  frame.is_load_summed = !in.IsAtEnd() && in.TakeByte() != 0;
   return in.IsGood();
 }
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr int kBacklog = 256;
+/// All other nodes of a fleet may connect within the same moment. The system
+/// may limit it further.
+constexpr int kBacklog = 4096;
 /// Delay before accepting again after descriptors ran out.
 constexpr std::chrono::milliseconds kAcceptPause{100};
 /// Interval of state reports while the target works, and while it is idle.
@@ -25,6 +27,9 @@
 /// Silence after which a link is closed: two reports of an idle node were
 /// missed.
 constexpr Millis kLinkTimeout{2200};
+/// The same for a node that reports only to its aggregator, since the first
+/// ping that was not answered.
+constexpr Millis kPingTimeout{1900};
 /// A tick that is this late means that the host was suspended or the process
 /// got no CPU time.
 constexpr Millis kSuspensionGap{1000};
@@ -59,6 +64,7 @@
                                   : settings_in.peer_address);
   this->self->node.incarnation = incarnation;
   this->peers.push_back(this->self);
+  this->AddToIndex(this->self);
 }
 
 Result<void> PeerTable::Listen() {
@@ -121,30 +127,64 @@
   });
 }
 
+void PeerTable::AddToIndex(const PeerPointer& peer) {
+  this->by_name[peer->node.name] = peer;
+  this->by_address[peer->node.address] = peer;
+}
+
+void PeerTable::RemoveFromIndex(const PeerPointer& peer) {
+  const auto named = this->by_name.find(peer->node.name);
+  if (named != this->by_name.end() && named->second == peer) {
+    this->by_name.erase(named);
+  }
+  const auto addressed = this->by_address.find(peer->node.address);
+  if (addressed != this->by_address.end() && addressed->second == peer) {
+    this->by_address.erase(addressed);
+  }
+}
+
+void PeerTable::Rename(const PeerPointer& peer, const NodeAddress& node) {
+  this->RemoveFromIndex(peer);
+  peer->node = node;
+  this->AddToIndex(peer);
+}
+
+PeerPointer PeerTable::FindPeer(const std::string& name) const {
+  const auto found = this->by_name.find(name);
+  return found == this->by_name.end() ? nullptr : found->second;
+}
+
+/// The entry with that name, or else with that address.
+PeerPointer PeerTable::FindNode(const NodeAddress& node) const {
+  const auto named = this->by_name.find(node.name);
+  if (named != this->by_name.end()) {
+    return named->second;
+  }
+  const auto addressed = this->by_address.find(node.address);
+  return addressed == this->by_address.end() ? nullptr : addressed->second;
+}
+
 bool PeerTable::AddNode(const NodeAddress& node) {
   if (node.name == this->self->node.name || node.address.empty()) {
     return false;
   }
-  const auto known = std::find_if(this->peers.begin(), this->peers.end(),
-                                  [&node](const PeerPointer& peer) {
-                                    return peer->node.name == node.name ||
-                                           peer->node.address == node.address;
-                                  });
-  if (known == this->peers.end()) {
+  const PeerPointer known = this->FindNode(node);
+  if (known == nullptr) {
     const PeerPointer peer = std::make_shared<Peer>();
     peer->node = node;
     peer->disconnected_at = BootTimeNow();
     this->peers.push_back(peer);
+    this->AddToIndex(peer);
     return true;
   }
-  const PeerPointer peer = *known;
+  const PeerPointer& peer = known;
   if (peer->is_self || node.incarnation <= peer->node.incarnation) {
     return false;
   }
   // The node has restarted; what is known of the previous incarnation no longer
   // holds.
   UpdateIncarnation(node.incarnation, *peer);
-  peer->node = node;
+  this->Rename(peer, node);
   peer->next_dial = Millis{0};
   peer->dial_backoff = Millis{0};
   if (peer->link != nullptr) {
@@ -270,9 +310,13 @@
     return !peer->is_self && peer->link == nullptr && !peer->is_dialling &&
            now - peer->disconnected_at > kRemoveAfter;
   };
-  const auto first =
-      std::remove_if(this->peers.begin(), this->peers.end(), is_gone);
+  const auto first = std::stable_partition(
+      this->peers.begin(), this->peers.end(),
+      [&is_gone](const PeerPointer& peer) { return !is_gone(peer); });
   if (first != this->peers.end()) {
+    std::for_each(first, this->peers.end(), [this](const PeerPointer& peer) {
+      this->RemoveFromIndex(peer);
+    });
     this->peers.erase(first, this->peers.end());
     this->by_service.clear();
   }
@@ -282,7 +326,11 @@
 /// gets no more calls, but its link is kept for a while, since the node may
 /// only be suspended.
 void PeerTable::CheckSilence(Millis now, const PeerPointer& peer) {
-  const Millis heard = peer->link->LastReceived();
+  // A node that does not report to this one is silent until a call is sent.
+  const Millis received = peer->link->LastReceived();
+  const Millis heard = peer->reported.is_load_summed
+                           ? std::max(received, peer->awaited_since)
+                           : received;
   const std::uint32_t answers_due = peer->last_query_at > heard ? 1 : 0;
   const control::LinkSilence silence{now, heard, peer->last_pinged,
                                      peer->first_pinged,
@@ -311,6 +359,18 @@
   }
 }
 
+/// Whether the link has been silent for so long that it must be replaced.
+bool PeerTable::IsLinkDead(Millis now, const Peer& peer) const {
+  if (now < this->silence_tolerated_until) {
+    return false;
+  }
+  const Millis heard = peer.link->LastReceived();
+  if (peer.has_reported && peer.reported.is_load_summed) {
+    return peer.first_pinged > heard && now - peer.first_pinged > kPingTimeout;
+  }
+  return now - heard > kLinkTimeout;
+}
+
 void PeerTable::Tick(Millis now) {
   if (now - this->last_tick > kSuspensionGap) {
     // This host was suspended; frames that arrived meanwhile have yet to be
@@ -328,8 +388,10 @@
       (is_busy ? busy_wait : kIdleReportInterval)) {
     this->AnnounceState();
   }
-  const std::vector<PeerPointer> all = this->peers;
-  for (const PeerPointer& peer : all) {
+  // By index, since a lost link may add nodes.
+  const std::size_t count = this->peers.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const PeerPointer peer = this->peers[i];
     if (peer->is_self) {
       continue;
     }
@@ -340,8 +402,7 @@
       continue;
     }
     this->CheckSilence(now, peer);
-    if (now >= this->silence_tolerated_until &&
-        now - peer->link->LastReceived() > kLinkTimeout) {
+    if (this->IsLinkDead(now, *peer)) {
       LogEvent(kEventLinkSilent, {{"peer", peer->node.name}});
       this->DropLink(peer);
       continue;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -29,6 +29,12 @@
 /// other nodes direct up to a third of their load to a failing target until
 /// they know.
 constexpr double kMinReportedErrorChange = 0.3;
+/// Error rate up to which a target counts as sound again.
+constexpr double kRecoveredErrorRate = 0.05;
+/// The node has settled after its start when no further node became reachable
+/// for `kSettleTime`, and in any case after `kMaxSettleTime`.
+constexpr Millis kSettleTime{300};
+constexpr Millis kMaxSettleTime{3000};
 /// Time before the forced end in which open calls are answered.
 constexpr Millis kFinalAnswerTime{400};
 
@@ -48,7 +54,8 @@
             this->settings,
             static_cast<std::uint64_t>(WallNow().count),
             this->MakePeerEvents()),
-      entry(this->settings, this->peers, this->served),
+      loads(this->settings, this->peers),
+      entry(this->settings, this->peers, this->served, this->loads),
       callers(loop_in,
               this->settings.names,
               [this](RequestHead head,
@@ -78,12 +85,15 @@
   };
   events.on_accepted_closed = [this](LinkId link) {
     this->min_clock_offsets.erase(link);
+    this->loads.OnAcceptedClosed(link);
     this->served.OnLinkClosed(link);
   };
   events.on_link_lost = [this](const PeerPointer& peer) {
+    this->loads.OnLinkLost(peer);
     this->entry.OnLinkLost(peer);
   };
   events.on_suspect = [this](const PeerPointer& peer) {
+    this->loads.OnSuspect(peer);
     this->entry.OnSuspect(peer);
   };
   events.on_state = [this](const PeerPointer& peer, bool is_first) {
@@ -173,6 +183,8 @@
   BOOST_LEAF_CHECK(this->callers.Listen(this->settings.caller_address));
   BOOST_LEAF_CHECK(this->peers.Listen());
   this->peers.AnnounceState();
+  this->started_at = BootTimeNow();
+  this->reachable_since = this->started_at;
   this->ScheduleTick();
   return {};
 }
@@ -209,6 +221,7 @@
   state.repeats = this->entry.OwnRepeatCounts(BootTimeNow());
   state.has_source = this->has_source && !this->is_stopping;
   state.error_rate = this->served.ErrorRate();
+  state.is_load_summed = this->loads.IsSummed();
   return state;
 }
 
@@ -360,13 +373,13 @@
   this->entry.Sweep(now);
   this->served.Sweep(now);
   this->RunPendingAcks(now, std::nullopt);
-  const double reported_rate = this->peers.SelfPeer()->reported.error_rate;
-  if (std::abs(this->served.ErrorRate() - reported_rate) >
-      kMinReportedErrorChange) {
-    this->peers.AnnounceState();
-  }
+  this->AnnounceErrorRate();
   if (this->ticks % kPeerTicks == 0) {
+    this->UpdateSettled(now);
     this->peers.Tick(now);
+    if (this->loads.Tick(now, this->MakeState())) {
+      this->peers.AnnounceState();
+    }
     this->entry.UpdateAdmission(now);
     this->entry.Quotas().Tick(now);
     this->entry.Quarantine().Tick(now);
@@ -381,6 +394,21 @@
   }
 }
 
+/// Reports a large change of the target's error rate. If the load is summed,
+/// other nodes learn of small rates with answers only, so the end of a failure
+/// is reported too.
+void RelayNode::AnnounceErrorRate() {
+  const double current = this->served.ErrorRate();
+  const double announced = this->peers.AnnouncedErrorRate();
+  const bool has_recovered = this->loads.IsSummed() &&
+                             announced > kRecoveredErrorRate &&
+                             current <= kRecoveredErrorRate;
+  if (std::abs(current - announced) > kMinReportedErrorChange ||
+      has_recovered) {
+    this->peers.AnnounceLoad();
+  }
+}
+
 void RelayNode::AddSlotTime() {
   constexpr double kSeconds = 0.001 * kTickInterval.count() * kPeerTicks;
   const control::InstanceTracker& tracker = this->served.Ledger();
@@ -390,6 +418,19 @@
   }
 }
 
+void RelayNode::UpdateSettled(Millis now) {
+  if (this->is_settled) {
+    return;
+  }
+  const std::uint32_t reachable = this->peers.CountReachable();
+  if (reachable > this->reachable_nodes) {
+    this->reachable_nodes = reachable;
+    this->reachable_since = now;
+  }
+  this->is_settled = now - this->reachable_since >= kSettleTime ||
+                     now - this->started_at >= kMaxSettleTime;
+}
+
 void RelayNode::Stop() {
   if (this->is_stopping) {
     return;
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -303,6 +303,8 @@
   answer.running = this->Running();
   answer.waiting = this->Waiting();
   answer.error_rate = this->ErrorRate();
+  answer.target_work_ms = control::MeanWorkMs(this->Meter());
+  answer.target_calls_per_run = this->CallsPerRun();
 }
 
 void ServedCalls::SendOutcome(const CallPointer& call,
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -136,7 +136,11 @@
   REQUIRE(read.draining_instances[0].started_at == 77);
   // Hellos without start times, and without a protocol version.
   std::string_view older = Only(bytes).payload;
-  // The previous incarnation and its empty list of repeats are last.
+  // The previous incarnation, its empty list of repeats and whether that is
+  // known are last.
+  older.remove_suffix(1);
+  REQUIRE(Decode(older, read));
+  REQUIRE(read.has_repeat_counts);
   older.remove_suffix(sizeof(hello.previous_incarnation) + 1);
   REQUIRE(Decode(older, read));
   REQUIRE(read.known_incarnation == 99);
@@ -163,9 +167,9 @@
   read.started_at = 5;
   REQUIRE_FALSE(EqualExceptLoad(state, read));
   std::string_view older = Only(bytes).payload;
-  // Cuts off the start time, the source flag, and the repeats, call chains and
-  // error rate, which take one byte each here.
-  older.remove_suffix(sizeof(state.started_at) + 4);
+  // Cuts off the start time, the source flag, and the repeats, call chains,
+  // error rate and whether the load is summed, which take one byte each here.
+  older.remove_suffix(sizeof(state.started_at) + 5);
   REQUIRE(Decode(older, read));
   REQUIRE(read.started_at == 0);
   REQUIRE_FALSE(read.has_source);
@@ -301,7 +305,7 @@
   Append(state, bytes);
   std::string payload(Only(bytes).payload);
   // Overwrites the count of the last list, which precedes the start time.
-  payload[payload.size() - sizeof(state.started_at) - 1 - 4] = '\x7f';
+  payload[payload.size() - sizeof(state.started_at) - 1 - 5] = '\x7f';
   StateFrame read;
   REQUIRE_FALSE(Decode(payload, read));
 }
--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -69,6 +69,26 @@
 
 /// Frames between relay nodes: what decodes encodes to the same bytes, but for
 /// fields that a newer node added at the end.
+/// Sums are read again as they were written. Fractions are rounded anew each
+/// time, so the bytes may differ.
+void SumsTrip(std::string_view payload) {
+  namespace relay = almondlink::relay;
+  almondlink::control::LoadSums sums;
+  if (!relay::Decode(payload, sums)) {
+    return;
+  }
+  std::string bytes;
+  relay::AppendSums(relay::FrameType::kLoadSums, sums, bytes);
+  bool is_bad = false;
+  const std::optional<relay::RawFrame> raw = relay::NextFrame(bytes, is_bad);
+  almondlink::control::LoadSums again;
+  if (!raw.has_value() || !relay::Decode(raw->payload, again) ||
+      again.services.size() != sums.services.size() ||
+      again.roots.size() != sums.roots.size()) {
+    __builtin_trap();
+  }
+}
+
 template <typename Frame>
 void FrameTrip(std::string_view payload) {
   namespace relay = almondlink::relay;
@@ -110,6 +130,8 @@
     FrameTrip<relay::TrialRequestFrame>(frame->payload);
     FrameTrip<relay::TrialResponseFrame>(frame->payload);
     FrameTrip<relay::TrialEndedFrame>(frame->payload);
+    FrameTrip<relay::LoadReportFrame>(frame->payload);
+    SumsTrip(frame->payload);
     rest.remove_prefix(frame->size);
   }
 }
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -19,6 +19,7 @@
 DEFINE_int32(seconds, 8, "time with faults, for each seed");
 DEFINE_int32(base_port, 26000, "first port; ten for each node are used");
 DEFINE_int32(nodes, 6, "nodes, each a process with an instance beside it");
+DEFINE_bool(sums, false, "nodes sum their loads, as in a large fleet");
 DEFINE_string(cases, "", "file of seeds to run first");
 
 namespace {
@@ -31,6 +32,7 @@
   options.nodes = FLAGS_nodes;
   options.seconds = FLAGS_seconds;
   options.base_port = FLAGS_base_port;
+  options.has_sums = FLAGS_sums;
   const almondlink::test::SoakResult result =
       almondlink::test::RunSoak(options);
   std::printf(
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -77,6 +77,9 @@
   /// A third each of front, shop (each request calls stock once) and stock.
   void Build() {
     this->cluster.UseProxies();
+    if (this->options.has_sums) {
+      this->cluster.SetDecisions("direct_nodes = 2\n");
+    }
     const std::array<const char*, 3> services = {"front", "shop", "stock"};
     for (int node = 0; node < this->options.nodes; ++node) {
       standins::FakeInstance::Spec spec;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,6 +21,8 @@
   /// Kinds of faults to draw from. A seed that failed is played again with the
   /// number it failed with, since another number draws other faults.
   std::uint64_t kinds = kFaultKinds;
+  /// The nodes sum their loads, as those of a large fleet do.
+  bool has_sums = false;
 };
 
 struct SoakResult {
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -148,7 +148,8 @@
               ? "\nadvertise_address = " + At(this->PortOf(node, kProxyPort))
               : std::string())
       << "\ndrain = 2s\ngrace = 6s\nrepeat_fixed = 40\n"
-      << relay << "[logging]\nlevel = info\n";
+      << relay << "[decisions]\n"
+      << this->decisions << "[logging]\nlevel = info\n";
 }
 
 int RelayCluster::Add(standins::FakeInstance::Spec spec,
@@ -168,7 +169,7 @@
         static_cast<std::uint16_t>(this->PortOf(node, kPeerPort)));
   }
   this->nodes.push_back(std::move(entry));
-  this->WriteSettings(node, spec.service);
+  this->WriteSettings(node, spec.service, this->relay);
   this->StartNode(node);
   this->nodes.back().instance =
       std::make_unique<standins::FakeInstance>(std::move(spec));
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -65,6 +65,11 @@
   void UseProxies() { this->has_proxies = true; }
   Relay& Proxy(int node) { return *this->nodes[Index(node)].proxy; }
 
+  /// Lines of the section [relay] of nodes that are added later.
+  void SetRelay(std::string lines) { this->relay = std::move(lines); }
+  /// The same of the section [decisions].
+  void SetDecisions(std::string lines) { this->decisions = std::move(lines); }
+
   /// Adds a node and its instance; `spec` needs id and service, the ports are
   /// filled in. Returns its number.
   int Add(standins::FakeInstance::Spec spec,
@@ -135,6 +140,8 @@
 
   int base_port;
   bool has_proxies = false;
+  std::string relay;
+  std::string decisions;
   std::string folder;
   standins::FakeStore store;
   std::vector<Entry> nodes;
