--- a/libs/relay/src/quarantine_exchange.cc
+++ b/libs/relay/src/quarantine_exchange.cc
@@ -59,7 +59,13 @@
 
 void QuarantineExchange::MergeStored(const control::RequestDigest& digest,
                                      const control::QuarantineRecord& record) {
-  control::MergeQuarantine(Rules(), BootTimeNow(), digest, record, this->table);
+  const Millis now = BootTimeNow();
+  const bool is_new = this->Find(digest) == nullptr;
+  control::MergeQuarantine(Rules(), now, digest, record, this->table);
+  if (is_new && this->Find(digest) != nullptr) {
+    // Most nodes do not read the stored records themselves.
+    this->Broadcast({{MakeUpdate(digest, this->table.records[digest], now)}});
+  }
 }
 
 bool QuarantineExchange::IsPathUnknown(std::uint64_t path) const {
--- a/test/process/relay_store_test.cc
+++ b/test/process/relay_store_test.cc
@@ -147,6 +147,46 @@
           std::chrono::milliseconds(5000));
 }
 
+TEST_CASE("nodes that start together cost the store two calls each at most") {
+  // Pattern: a fleet that starts for the first time. Each node read the whole
+  // list, and most took themselves for followers before they knew the others.
+  constexpr int kStarting = 16;
+  RelayCluster cluster(21200, "start-together");
+  cluster.SetRelay("first_start = true\n");
+  for (int i = 0; i < kStarting; ++i) {
+    cluster.Add(Spec("i-" + std::to_string(i), "stock"),
+                i % 2 == 0 ? "zone-a" : "zone-b");
+  }
+  cluster.Configure(1, {kStock});
+  cluster.WaitReady();
+  const std::uint64_t calls = cluster.Store().Calls("/log-append") +
+                              cluster.Store().Calls("/log-newest") +
+                              cluster.Store().Calls("/log-read");
+  REQUIRE(cluster.Store().Calls("/log-append") == kStarting);
+  REQUIRE(calls <= 2 * kStarting);
+}
+
+TEST_CASE("nodes that restart together find each other and the policy") {
+  RelayCluster cluster(21400, "restart-together");
+  constexpr int kRestarting = 8;
+  for (int i = 0; i < kRestarting; ++i) {
+    cluster.Add(Spec("i-" + std::to_string(i), "stock"),
+                i % 2 == 0 ? "zone-a" : "zone-b");
+  }
+  cluster.Configure(1, {kStock});
+  cluster.WaitReady();
+  for (int i = 0; i < kRestarting; ++i) {
+    cluster.Node(i).Kill();
+  }
+  const std::uint64_t before = cluster.Store().Calls("/log-newest");
+  for (int i = 0; i < kRestarting; ++i) {
+    cluster.StartNode(i);
+  }
+  cluster.WaitReady();
+  REQUIRE(cluster.Call(0, "stock.example", "/stock/1", "x").status == 200);
+  REQUIRE(cluster.Store().Calls("/log-newest") - before <= 2 * kRestarting);
+}
+
 TEST_CASE("the store is asked rarely while nothing changes") {
   RelayCluster cluster(24970, "calm");
   cluster.Add(Spec("i-a", "stock"));
