--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -120,6 +120,8 @@
   /// Whether the sender receives the repeat counts of the receiver; if not,
   /// `previous_repeats` tells nothing. Nodes below kVersionLoadSums always do.
   bool has_repeat_counts = true;
+  /// The sender, which accepted the link, uses it for its own calls too.
+  bool shares_link = false;
 };
 
 /// Protocol versions by the feature that they introduced, and the version of
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -28,7 +28,11 @@
 /// the state that they report.
 ///
 /// Every node dials every other node and sends its calls on the link that it
-/// dialled. On a link that it accepted, a node reports its own state: at once
+/// dialled. In a large fleet, two nodes share one link for both directions: a
+/// node that accepts a link and has none to its peer uses that one, and tells
+/// the peer so with its hello. Of each pair one node dials first.
+///
+/// On a link that it accepted, a node reports its own state: at once
 /// after a change that callers must know of, otherwise only its load, a few
 /// times a second while its target works and once a second while it is idle, so
 /// that a silent link is noticed. Addresses come from outside (a directory),
@@ -178,6 +182,12 @@
   /// Nodes beside targets of `service`, including this one. Valid until the
   /// table changes.
   const std::vector<PeerPointer>& PeersOfService(const std::string& service);
+  /// Whether another node has made itself known on a link.
+  bool IsGreeted() const;
+  /// Dials the nodes without a link whose turn it is.
+  void DialDue(Millis now);
+  /// Number of open links to other nodes.
+  std::size_t CountLinks() const;
   /// Number of nodes that calls can be sent to, including this one.
   std::uint32_t CountReachable() const;
 
@@ -224,6 +234,8 @@
     /// Value of `state_revision` at the last state sent on it; 0 if none was
     /// sent.
     std::uint64_t announced_revision = 0;
+    /// The peer whose dialled link this is too; null if it is not shared.
+    std::weak_ptr<Peer> shared_with;
   };
 
   void Accept();
@@ -252,6 +264,11 @@
   LoadFrame MakeLoadFrame(const StateFrame& state);
   std::vector<NodeAddress> SampleNodes(const std::string& to);
   void DropLink(const PeerPointer& peer);
+  bool IsLargeFleet() const;
+  bool DialsFirst(const Peer& peer) const;
+  void ShareAcceptedLink(const PeerLinkPointer& link, AcceptedLink& entry);
+  void ShareDialledLink(const PeerPointer& peer);
+  void CloseAccepted(const PeerLinkPointer& link);
   void SendHello(PeerLink& link, const std::string& to);
   void PushPolicy(Millis now, const PeerPointer& peer);
   void RequestPolicy(Millis now);
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -114,8 +114,10 @@
   }
   /// Whether this node is one of the few that poll the policy source.
   bool FollowsSource() const { return this->peers.FollowsSource(); }
-  /// Whether there is a link to another node.
-  bool IsConnected() const { return this->peers.CountReachable() > 1; }
+  /// Whether another node has made itself known on a link.
+  bool IsGreeted() const { return this->peers.IsGreeted(); }
+  /// Dials the known nodes at once that the next tick would dial.
+  void DialKnown() { this->peers.DialDue(BootTimeNow()); }
   /// Whether the links to other nodes are complete after the start, as far as
   /// can be told: no more have come for a moment.
   bool IsSettled() const { return this->is_settled; }
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -91,6 +91,8 @@
   out.AddSingle("peers_suspect", "gauge",
                 "Nodes that are silent while answers are due.",
                 count([](const Peer& peer) { return peer.is_suspect; }));
+  out.AddSingle("peer_links", "gauge", "Open links to other nodes.",
+                static_cast<double>(peers.CountLinks()));
   out.AddSingle("open_targets", "gauge", "Targets that accept calls.",
                 count([](const Peer& peer) {
                   return peer.IsReachable() &&
--- a/libs/relay/src/peer_state.cc
+++ b/libs/relay/src/peer_state.cc
@@ -103,6 +103,8 @@
   const PeerPointer receiver = this->FindPeer(to);
   if (receiver != nullptr) {
     const Peer& peer = *receiver;
+    hello.shares_link =
+        peer.link.get() == &link && this->accepted.count(link.Id()) > 0;
     hello.has_repeat_counts = peer.previous_incarnation != 0
                                   ? peer.has_previous_repeats
                                   : peer.has_repeat_counts;
@@ -153,17 +155,44 @@
   if (this->HandleAcceptedFrame(link, frame)) {
     return;
   }
-  const auto entry = this->accepted.find(link->Id());
   LogEvent(kEventPeerRefused,
-           {{"node", entry == this->accepted.end() ? "" : entry->second.node},
+           {{"node", this->NodeOfAcceptedLink(link->Id())},
             {"frame", std::to_string(static_cast<unsigned>(frame.type))}});
-  this->accepted.erase(link->Id());
   link->Close();
-  this->events.on_accepted_closed(link->Id());
+  this->CloseAccepted(link);
+}
+
+/// Whether the frame is one that a node sends on a link that its peer dialled.
+bool IsFromAcceptor(FrameType type) {
+  switch (type) {
+    case FrameType::kState:
+    case FrameType::kLoad:
+    case FrameType::kPolicyVersion:
+    case FrameType::kNodes:
+    case FrameType::kPolicy:
+    case FrameType::kAnswer:
+    case FrameType::kData:
+    case FrameType::kQuotaLoan:
+    case FrameType::kTrialResponse:
+    case FrameType::kLoadTotals:
+      return true;
+    default:
+      return false;
+  }
 }
 
 bool PeerTable::HandleAcceptedFrame(const PeerLinkPointer& link,
                                     const RawFrame& frame) {
+  const auto entry_of_link = this->accepted.find(link->Id());
+  const PeerPointer peer = entry_of_link == this->accepted.end()
+                               ? nullptr
+                               : entry_of_link->second.shared_with.lock();
+  if (peer != nullptr && peer->link == link) {
+    peer->is_suspect = false;
+    if (IsFromAcceptor(frame.type)) {
+      return this->HandleDialledFrame(peer, frame);
+    }
+  }
   switch (frame.type) {
     case FrameType::kHello:
       return this->OnAcceptedHello(link, frame.payload);
@@ -203,8 +232,15 @@
   entry.node = hello.self.name;
   entry.protocol_version = hello.protocol_version;
   this->OnHello(hello);
+  const auto open = this->accepted.find(link->Id());
+  if (open == this->accepted.end()) {
+    // A later incarnation of the node was announced on a shared link, which was
+    // closed with what is known of the previous one.
+    return true;
+  }
+  this->ShareAcceptedLink(link, open->second);
   this->SendHello(*link, hello.self.name);
-  this->SendState(entry);
+  this->SendState(open->second);
   return true;
 }
 
@@ -220,6 +256,11 @@
 
 bool PeerTable::HandleDialledFrame(const PeerPointer& peer,
                                    const RawFrame& frame) {
+  const bool is_shared = this->accepted.count(peer->link->Id()) > 0;
+  if (is_shared && frame.type != FrameType::kHello &&
+      !IsFromAcceptor(frame.type)) {
+    return this->HandleAcceptedFrame(peer->link, frame);
+  }
   switch (frame.type) {
     case FrameType::kHello:
       return this->OnDialledHello(peer, frame.payload);
@@ -250,6 +291,9 @@
   }
   UpdateIncarnation(hello.self.incarnation, *peer);
   peer->protocol_version = hello.protocol_version;
+  if (hello.shares_link) {
+    this->ShareDialledLink(peer);
+  }
   if (this->OnHello(hello)) {
     // The peer takes this node for an earlier incarnation until it receives the
     // new number.
--- a/libs/relay/src/peer_state_frames.cc
+++ b/libs/relay/src/peer_state_frames.cc
@@ -105,6 +105,7 @@
   writer.Put(frame.previous_incarnation);
   PutRepeats(frame.previous_repeats, writer);
   writer.PutByte(frame.has_repeat_counts ? 1 : 0);
+  writer.PutByte(frame.shares_link ? 1 : 0);
 }
 
 bool Decode(std::string_view payload, HelloFrame& frame) {
@@ -142,6 +143,7 @@
   }
   TakeRepeats(in, frame.previous_repeats);
   frame.has_repeat_counts = in.IsAtEnd() || in.TakeByte() != 0;
+  frame.shares_link = !in.IsAtEnd() && in.TakeByte() != 0;
   return in.IsGood();
 }
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -34,6 +34,9 @@
 /// got no CPU time.
 constexpr Millis kSuspensionGap{1000};
 constexpr Millis kDialTimeout{1000};
+/// Delay of the second node of a pair that may share a link. The first knows
+/// and dials the other within this time unless it has just started.
+constexpr Millis kSecondDialDelay{500};
 constexpr Millis kMinDialBackoff{100};
 constexpr Millis kMaxDialBackoff{2000};
 /// A node that was unreachable for this long is removed and no longer dialled;
@@ -105,8 +108,7 @@
         this->OnAcceptedFrame(link, frame);
       };
       link_events.on_closed = [this](const PeerLinkPointer& link) {
-        this->accepted.erase(link->Id());
-        this->events.on_accepted_closed(link->Id());
+        this->CloseAccepted(link);
       };
       const LinkId id = this->next_link++;
       const PeerLinkPointer link = std::make_shared<PeerLink>(
@@ -173,6 +175,9 @@
     const PeerPointer peer = std::make_shared<Peer>();
     peer->node = node;
     peer->disconnected_at = BootTimeNow();
+    if (!this->DialsFirst(*peer)) {
+      peer->next_dial = peer->disconnected_at + kSecondDialDelay;
+    }
     this->peers.push_back(peer);
     this->AddToIndex(peer);
     return true;
@@ -257,16 +262,78 @@
   peer->link->ScheduleFlush();
 }
 
+bool PeerTable::IsLargeFleet() const {
+  return this->peers.size() > this->settings.decisions.direct_nodes;
+}
+
+/// Whether this node dials the peer at once. In a large fleet one node of each
+/// pair waits for the link of the other.
+bool PeerTable::DialsFirst(const Peer& peer) const {
+  return !this->IsLargeFleet() || this->self->node.name < peer.node.name;
+}
+
+/// Uses an accepted link for calls to its peer too, if there is no other link.
+void PeerTable::ShareAcceptedLink(const PeerLinkPointer& link,
+                                  AcceptedLink& entry) {
+  const PeerPointer peer = this->FindPeer(entry.node);
+  const bool can_share = this->IsLargeFleet() && peer != nullptr &&
+                         !peer->is_self && peer->link == nullptr &&
+                         !peer->is_dialling &&
+                         entry.protocol_version >= kVersionLoadSums;
+  if (can_share) {
+    entry.shared_with = peer;
+    peer->link = link;
+    peer->has_reported = false;
+    peer->is_connection_refused = false;
+    peer->protocol_version = entry.protocol_version;
+  }
+}
+
+/// The peer uses the link that this node dialled for its calls too.
+void PeerTable::ShareDialledLink(const PeerPointer& peer) {
+  AcceptedLink& entry = this->accepted[peer->link->Id()];
+  if (entry.link != nullptr) {
+    return;
+  }
+  entry.link = peer->link;
+  entry.node = peer->node.name;
+  entry.protocol_version = peer->protocol_version;
+  entry.shared_with = peer;
+  this->SendState(entry);
+}
+
+/// Forgets an accepted link that is closed, with what shares it.
+void PeerTable::CloseAccepted(const PeerLinkPointer& link) {
+  const auto entry = this->accepted.find(link->Id());
+  if (entry == this->accepted.end()) {
+    return;
+  }
+  const PeerPointer peer = entry->second.shared_with.lock();
+  if (peer != nullptr && peer->link == link) {
+    this->DropLink(peer);
+    return;
+  }
+  this->accepted.erase(entry);
+  this->events.on_accepted_closed(link->Id());
+}
+
 void PeerTable::DropLink(const PeerPointer& peer) {
   if (peer->link == nullptr) {
     return;
   }
-  peer->link->Close();
+  const PeerLinkPointer link = std::move(peer->link);
   peer->link.reset();
+  link->Close();
+  if (this->accepted.erase(link->Id()) > 0) {
+    this->events.on_accepted_closed(link->Id());
+  }
   peer->has_reported = false;
   peer->is_suspect = false;
   peer->disconnected_at = BootTimeNow();
   peer->next_dial = peer->disconnected_at + peer->dial_backoff;
+  if (!this->DialsFirst(*peer)) {
+    peer->next_dial = peer->next_dial + kSecondDialDelay;
+  }
   LogEvent(kEventLinkLost, {{"peer", peer->node.name}});
   this->events.on_link_lost(peer);
 }
@@ -292,6 +359,31 @@
       [](const PeerPointer& peer) { return peer->IsReachable(); }));
 }
 
+bool PeerTable::IsGreeted() const {
+  return std::any_of(
+             this->accepted.begin(), this->accepted.end(),
+             [](const auto& entry) { return !entry.second.node.empty(); }) ||
+         this->CountReachable() > 1;
+}
+
+void PeerTable::DialDue(Millis now) {
+  for (const PeerPointer& peer : this->peers) {
+    if (!peer->is_self && peer->link == nullptr && !peer->is_dialling &&
+        now >= peer->next_dial) {
+      this->Dial(now, peer);
+    }
+  }
+}
+
+std::size_t PeerTable::CountLinks() const {
+  const auto dialled = std::count_if(
+      this->peers.begin(), this->peers.end(), [this](const PeerPointer& peer) {
+        return peer->link != nullptr &&
+               this->accepted.count(peer->link->Id()) == 0;
+      });
+  return this->accepted.size() + static_cast<std::size_t>(dialled);
+}
+
 PeerTable::Reachability PeerTable::MeasureReachability(Millis now) const {
   Reachability reach;
   for (const PeerPointer& peer : this->peers) {
@@ -392,13 +484,7 @@
   const std::size_t count = this->peers.size();
   for (std::size_t i = 0; i < count; ++i) {
     const PeerPointer peer = this->peers[i];
-    if (peer->is_self) {
-      continue;
-    }
-    if (peer->link == nullptr) {
-      if (!peer->is_dialling && now >= peer->next_dial) {
-        this->Dial(now, peer);
-      }
+    if (peer->is_self || peer->link == nullptr) {
       continue;
     }
     this->CheckSilence(now, peer);
@@ -409,6 +495,7 @@
     }
     this->PushPolicy(now, peer);
   }
+  this->DialDue(now);
   this->RequestPolicy(now);
   this->RemoveUnreachable(now);
 }
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -136,11 +136,12 @@
   REQUIRE(read.draining_instances[0].started_at == 77);
   // Hellos without start times, and without a protocol version.
   std::string_view older = Only(bytes).payload;
-  // The previous incarnation, its empty list of repeats and whether that is
-  // known are last.
-  older.remove_suffix(1);
+  // The previous incarnation, its empty list of repeats, whether that is known
+  // and whether the link is shared are last.
+  older.remove_suffix(2);
   REQUIRE(Decode(older, read));
   REQUIRE(read.has_repeat_counts);
+  REQUIRE_FALSE(read.shares_link);
   older.remove_suffix(sizeof(hello.previous_incarnation) + 1);
   REQUIRE(Decode(older, read));
   REQUIRE(read.known_incarnation == 99);
--- a/test/process/relay_sums_test.cc
+++ b/test/process/relay_sums_test.cc
@@ -150,6 +150,42 @@
   }));
 }
 
+TEST_CASE("two nodes of a large fleet share one link") {
+  // Pattern: 2,000 nodes with a link each way to every other one need more
+  // descriptors than they have.
+  RelayCluster cluster(20700, "sums-links");
+  cluster.SetDecisions("direct_nodes = 1\n");
+  for (int i = 0; i < kNodes; ++i) {
+    cluster.Add(Spec("i-" + std::to_string(i), "stock"),
+                i < kNodesPerZone ? "zone-a" : "zone-b");
+  }
+  cluster.Configure(1, kRoutes);
+  cluster.WaitReady();
+  REQUIRE(SoonSummed(cluster, kNodes));
+  const auto count_links = [&]() {
+    double links = 0;
+    for (int i = 0; i < kNodes; ++i) {
+      links += cluster.Metric(i, "almondlink_peer_links").value_or(0);
+    }
+    return links;
+  };
+  constexpr double kPairs = kNodes * (kNodes - 1) / 2.0;
+  REQUIRE(count_links() >= 2 * kPairs);
+  // Nodes that dial each other at the same moment keep both links.
+  REQUIRE(count_links() <= 1.5 * 2 * kPairs);
+  REQUIRE(AreCallsAnswered(cluster, -1));
+  for (const int restarted : {0, kNodes - 1}) {
+    cluster.Node(restarted).Kill();
+    REQUIRE(SoonSummed(cluster, kNodes - 1, restarted));
+    REQUIRE(AreCallsAnswered(cluster, restarted));
+    cluster.StartNode(restarted);
+    cluster.WaitReady();
+    REQUIRE(SoonSummed(cluster, kNodes));
+    REQUIRE(AreCallsAnswered(cluster, -1));
+  }
+  REQUIRE(count_links() <= 1.5 * 2 * kPairs);
+}
+
 TEST_CASE("another node takes over from a killed aggregator") {
   RelayCluster cluster(20100, "sums-killed");
   Start(cluster);
