--- a/libs/relay/src/peer_state.cc
+++ b/libs/relay/src/peer_state.cc
@@ -18,7 +18,7 @@
 /// from then on. A node receives a hello from each node that it meets, so it
 /// learns all n nodes after about log(n) of them; those are met first.
 constexpr std::size_t kNodesInFirstHellos = 16;
-constexpr std::size_t kNodesInLaterHellos = 2;
+constexpr std::size_t kNodesInLaterHellos = 4;
 constexpr std::size_t kFirstNodes = 1024;
 /// Draws for each node to be named; some draws name a node that is not linked.
 constexpr std::size_t kDrawsPerNode = 4;
