--- a/libs/model/tests/fleet_test.cc
+++ b/libs/model/tests/fleet_test.cc
@@ -1,6 +1,8 @@
 #include "almondlink/model/fleet.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 /// Pattern: a fleet that grows from 200 to 2,000 nodes. With direct loads, what
 /// a node sends and receives grows with the fleet.
@@ -42,25 +44,23 @@
 }
 
 TEST_CASE("the sums are whole again after a loss") {
+  // A killed process is noticed at once; a silent host when its report or its
+  // totals are overdue. In all cases within the time in which a change must be
+  // known to every node of the large fleets, 4 s.
+  const std::vector<std::pair<FleetFault, double>> bounds = {
+      {FleetFault::kKilledAggregator, 1500},
+      {FleetFault::kKilledHalf, 3500},
+      {FleetFault::kSilentAggregator, 3500},
+      {FleetFault::kSilentZone, 4000}};
   for (const std::uint32_t nodes : {200U, 1000U}) {
     for (const std::uint32_t seed : {1U, 2U, 3U}) {
-      INFO("nodes " << nodes << ", seed " << seed);
-      const double killed =
-          Play(nodes, FleetFault::kKilledAggregator, seed).repaired_after_ms;
-      REQUIRE(killed >= 0);
-      REQUIRE(killed <= 1500);
-      const double half =
-          Play(nodes, FleetFault::kKilledHalf, seed).repaired_after_ms;
-      REQUIRE(half >= 0);
-      REQUIRE(half <= 3500);
-      const double silent =
-          Play(nodes, FleetFault::kSilentAggregator, seed).repaired_after_ms;
-      REQUIRE(silent >= 0);
-      REQUIRE(silent <= 3500);
-      const double zone =
-          Play(nodes, FleetFault::kSilentZone, seed).repaired_after_ms;
-      REQUIRE(zone >= 0);
-      REQUIRE(zone <= 4500);
+      for (const auto& [fault, bound] : bounds) {
+        INFO("nodes " << nodes << ", seed " << seed << ", fault "
+                      << static_cast<int>(fault));
+        const double repaired = Play(nodes, fault, seed).repaired_after_ms;
+        REQUIRE(repaired >= 0);
+        REQUIRE(repaired <= bound);
+      }
     }
   }
 }
--- a/libs/relay/tests/quarantine_frames_test.cc
+++ b/libs/relay/tests/quarantine_frames_test.cc
@@ -2,19 +2,11 @@
 #include <string>
 
 #include "almondlink/relay/peer_frames.h"
+#include "libs/relay/tests/frame_payload.h"
 
 namespace almondlink::relay {
 namespace {
 
-std::string_view PayloadOf(const std::string& bytes, FrameType type) {
-  bool is_bad = false;
-  const std::optional<RawFrame> frame = NextFrame(bytes, is_bad);
-  REQUIRE(frame.has_value());
-  REQUIRE(frame->type == type);
-  REQUIRE(frame->size == bytes.size());
-  return frame->payload;
-}
-
 TEST_CASE("quarantine updates are unchanged by a round trip") {
   QuarantineFrame frame;
   frame.updates.resize(2);
