Start: a node that knows no other one has not settled

While a node waits for a greeting it knows nobody, counted itself as settled after 0.3 s, took itself for a follower and read and polled the configuration.

--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -121,6 +121,10 @@
   /// Whether the links to other nodes are complete after the start, as far as
   /// can be told: no more have come for a moment.
   bool IsSettled() const { return this->is_settled; }
+  /// Settles a node that is the only one of its deployment.
+  void SettleIfAlone() {
+    this->is_settled = this->is_settled || this->peers.All().size() == 1;
+  }
   /// Sets whether the policy source can be read from here; other nodes take
   /// over while it cannot.
   void SetHasSource(bool has_source_in);
@@ -185,10 +189,12 @@
   /// on it; a larger one is the delay of a frame on the link.
   std::map<LinkId, std::int64_t> min_clock_offsets;
   std::uint32_t ticks = 0;
-  /// When the node started, and when the number of reachable nodes last rose.
+  /// When the node started, and when the number of known or reachable nodes
+  /// last rose.
   Millis started_at;
   std::uint32_t reachable_nodes = 0;
-  Millis reachable_since;
+  std::size_t known_nodes = 0;
+  Millis nodes_changed_at;
   bool is_settled = false;
   /// Slot time that was available and that was used at this target while
   /// requests were refused because its service was short of capacity.
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -31,8 +31,8 @@
 constexpr double kMinReportedErrorChange = 0.3;
 /// Error rate up to which a target counts as sound again.
 constexpr double kRecoveredErrorRate = 0.05;
-/// The node has settled after its start when no further node became reachable
-/// for `kSettleTime`, and in any case after `kMaxSettleTime`.
+/// The node has settled after its start when no further node became known or
+/// reachable for `kSettleTime`, and in any case after `kMaxSettleTime`.
 constexpr Millis kSettleTime{300};
 constexpr Millis kMaxSettleTime{3000};
 /// Time before the forced end in which open calls are answered.
@@ -184,7 +184,6 @@
   BOOST_LEAF_CHECK(this->peers.Listen());
   this->peers.AnnounceState();
   this->started_at = BootTimeNow();
-  this->reachable_since = this->started_at;
   this->ScheduleTick();
   return {};
 }
@@ -423,12 +422,15 @@
     return;
   }
   const std::uint32_t reachable = this->peers.CountReachable();
-  if (reachable > this->reachable_nodes) {
+  const std::size_t known = this->peers.All().size();
+  if (reachable > this->reachable_nodes || known > this->known_nodes) {
     this->reachable_nodes = reachable;
-    this->reachable_since = now;
+    this->known_nodes = known;
+    this->nodes_changed_at = now;
   }
-  this->is_settled = now - this->reachable_since >= kSettleTime ||
-                     now - this->started_at >= kMaxSettleTime;
+  // A node that knows no other one has most likely not been told yet.
+  const bool is_calm = known > 1 && now - this->nodes_changed_at >= kSettleTime;
+  this->is_settled = is_calm || now - this->started_at >= kMaxSettleTime;
 }
 
 void RelayNode::Stop() {
