--- a/bench/fleet_node.cc
+++ b/bench/fleet_node.cc
@@ -205,7 +205,7 @@
 std::string WriteSettings() {
   const std::string folder = std::string(ALMONDLINK_BUILD_DIR) + "/bench";
   std::filesystem::create_directories(folder);
-  const std::string path = folder + "/fleet-node.ini";
+  std::string path = folder + "/fleet-node.ini";
   const auto at = [](int offset) {
     return "127.0.0.1:" + std::to_string(kBasePort + offset);
   };
--- a/libs/control/tests/load_sums_test.cc
+++ b/libs/control/tests/load_sums_test.cc
@@ -49,6 +49,7 @@
 
 std::vector<const NodeLoad*> PointersTo(const std::vector<NodeLoad>& loads) {
   std::vector<const NodeLoad*> pointers;
+  pointers.reserve(loads.size());
   for (const NodeLoad& load : loads) {
     pointers.push_back(&load);
   }
