--- a/libs/relay/include/almondlink/relay/load_exchange.h
+++ b/libs/relay/include/almondlink/relay/load_exchange.h
@@ -17,7 +17,7 @@
 /// A node reports to the aggregator of its group and receives totals on the
 /// same link, which show that the aggregator is alive. If totals do not arrive,
 /// the node queries the aggregator and all other nodes that have been silent,
-/// since it may itself be cut off. An aggregator queries members that do not
+/// since it may be cut off itself. An aggregator queries members that do not
 /// report, and all nodes of a zone whose aggregator does not answer. It names
 /// those that do not answer in its sums, and the receivers query them too
 /// before they stop sending calls there.
--- a/libs/relay/src/load_exchange.cc
+++ b/libs/relay/src/load_exchange.cc
@@ -42,12 +42,13 @@
   }
 }
 
-/// The best candidate for each group of a zone.
-struct ZoneAggregators {
+/// Number of nodes of a zone, and those that can be aggregators.
+struct ZoneNodes {
   std::uint32_t nodes = 0;
   std::vector<const PeerPointer*> candidates;
 };
 
+/// The candidate that is the aggregator of a group; null if there is none.
 PeerPointer BestOf(const std::vector<const PeerPointer*>& candidates,
                    std::uint32_t group) {
   PeerPointer best;
@@ -69,6 +70,7 @@
                            PeerTable& peers_in)
     : settings(settings_in), peers(peers_in) {}
 
+/// Whether this node or one that it can reach leaves its load to the sums.
 bool LoadExchange::NeedsTotals() const {
   return this->is_summed ||
          std::any_of(this->peers.All().begin(), this->peers.All().end(),
@@ -78,8 +80,9 @@
                      });
 }
 
+/// The aggregator of this node's group; null if the zone has no candidate.
 PeerPointer LoadExchange::ChooseAggregator() const {
-  ZoneAggregators own;
+  ZoneNodes own;
   for (const PeerPointer& peer : this->peers.All()) {
     if (peer->reported.zone != this->settings.zone.Value()) {
       continue;
@@ -97,9 +100,9 @@
 
 /// The aggregators of all groups, as far as this node can tell, without itself.
 std::vector<PeerPointer> LoadExchange::OtherAggregators() const {
-  std::map<std::string_view, ZoneAggregators> zones;
+  std::map<std::string_view, ZoneNodes> zones;
   for (const PeerPointer& peer : this->peers.All()) {
-    ZoneAggregators& zone = zones[peer->reported.zone];
+    ZoneNodes& zone = zones[peer->reported.zone];
     ++zone.nodes;
     if (CanAggregate(*peer)) {
       zone.candidates.push_back(&peer);
@@ -185,6 +188,8 @@
   this->reports_to->link->ScheduleFlush();
 }
 
+/// Queries the aggregator if its totals are overdue, and once all other nodes:
+/// if most of them are silent too, this node is cut off.
 void LoadExchange::WatchTotals(Millis now) {
   if (this->reports_to->is_self ||
       now - std::max(this->totals_at, this->reports_since) <=
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -302,7 +302,7 @@
   this->SendState(entry);
 }
 
-/// Forgets an accepted link that is closed, with what shares it.
+/// Removes a closed accepted link. If it was shared, the peer loses its link.
 void PeerTable::CloseAccepted(const PeerLinkPointer& link) {
   const auto entry = this->accepted.find(link->Id());
   if (entry == this->accepted.end()) {
