Tests: whichever node reads the store notices what cannot be read there

process_relay_reborn_test failed in the whole run, beside load: "entry-refused directory" was not in the log of the restarted node. Traced: that node was greeted by the other one before its moment came and did not read the list, as intended. A second run failed at the count of refused configurations of node 0; its log shows version 1 from its peer at 153 ms, read from the store by node 1 at 102 ms: node 0 did not follow yet. The test named the node that reads. It now restarts both, of which at least one must read the list, and takes the count of both; every check stays. Passed three times.

--- a/test/process/relay_reborn_test.cc
+++ b/test/process/relay_reborn_test.cc
@@ -170,17 +170,25 @@
   REQUIRE(metrics.samples.at(
               {"almondlink_entries_refused_total", {{"from", "report"}}}) ==
           static_cast<double>(bodies.size() + 1));
-  REQUIRE(metrics.samples.at({"almondlink_entries_refused_total",
-                              {{"from", "configuration"}}}) >= 1.0);
+  // By whichever node reads the store for both at that moment.
+  const auto count_refused = [&cluster](int node) {
+    return cluster.Metrics(node).Sum("almondlink_entries_refused_total",
+                                     {{"from", "configuration"}});
+  };
+  REQUIRE(count_refused(0) + count_refused(1) >= 1.0);
   REQUIRE(Soon([&]() {
     return HasLine(cluster.LogPath(0), "entry-refused", "capacity: negative");
   }));
-  // One that reads the directory anew passes over the stray entries.
+  // One that reads the directory anew passes over the stray entries. Of nodes
+  // that start together at least one reads it.
+  cluster.Node(0).Kill();
   cluster.Node(1).Kill();
+  cluster.StartNode(0);
   cluster.StartNode(1);
   cluster.WaitReady();
   REQUIRE(Soon([&]() {
-    return HasLine(cluster.LogPath(1), "entry-refused", "directory");
+    return HasLine(cluster.LogPath(0), "entry-refused", "directory") ||
+           HasLine(cluster.LogPath(1), "entry-refused", "directory");
   }));
 }
 
