--- a/libs/relay/include/almondlink/relay/load_exchange.h
+++ b/libs/relay/include/almondlink/relay/load_exchange.h
@@ -15,7 +15,7 @@
 /// Exchange of load sums between nodes, see almondlink/control/load_sums.h.
 ///
 /// A node reports to the aggregator of its group and receives totals on the
-/// same link, which show that the aggregator is alive. If totals do not arrive,
+/// same link, which show that the aggregator works. If totals do not arrive,
 /// the node queries the aggregator and all other nodes that have been silent,
 /// since it may be cut off itself. An aggregator queries members that do not
 /// report, and all nodes of a zone whose aggregator does not answer. It names
