Relay: log and metrics of what a target states about itself in its answers

A target may name a rate limit in its answers (Server-Limit), or state that it is leaving (Server-Leaving). The parser takes both; a limit that is no finite number from 0 up is none. The node beside the target keeps the limit (control/named_limit.h) and logs when it begins, changes by a tenth or ends (E631), every four seconds what was sent to the target, by how many entry nodes and at most by one (E632), and the first answer that states a leave (E633). New metrics target_limit_per_s and target_sent_total. No decision uses any of it.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -197,6 +197,22 @@
 /// The operator lifted the quarantine of a request; it runs as any other.
 constexpr Event kEventBlameLifted{630, Level::kInfo, "blame-lifted",
                                   Volume::kRare};
+/// The target beside this node names a rate limit in its answers, another one
+/// than before, or none any more (`per_s` empty): the requests per second that
+/// it accepts from all nodes together.
+constexpr Event kEventTargetLimit{631, Level::kWarning, "target-limit",
+                                  Volume::kRare};
+/// Every four seconds while the target names a limit: `sent` requests were sent
+/// to it, `named` is the number that its limit stands for. `nodes` is the
+/// number of entry nodes that they came from, `max_of_node` the most that came
+/// from one of them; `refused` were refused by the target, `work_ms` is its
+/// mean time of a request.
+constexpr Event kEventTargetLimitUsage{632, Level::kInfo, "target-limit-usage",
+                                       Volume::kRare};
+/// An answer of the target states that it is leaving; `reported` is the state
+/// by its reports until then.
+constexpr Event kEventTargetSaysLeaving{633, Level::kInfo,
+                                        "target-says-leaving", Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/relay/include/almondlink/relay/header_names.h
+++ b/libs/relay/include/almondlink/relay/header_names.h
@@ -25,6 +25,11 @@
   /// Name of the client account that a request belongs to; set by the relay
   /// where the policy has accounts.
   std::string account;
+  /// Requests per second that the target accepts from all nodes together, in
+  /// its answers while it needs relief.
+  std::string rate_limit;
+  /// Marks the answers of a target that is leaving.
+  std::string leaving;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/include/almondlink/relay/http_parser.h
+++ b/libs/relay/include/almondlink/relay/http_parser.h
@@ -46,6 +46,11 @@
   bool is_not_run = false;
   bool is_encoded = false;
   bool is_keep_alive = true;
+  /// Requests per second that the target accepts from all nodes together;
+  /// nothing if it names no limit, or one that is not a number from 0 up.
+  std::optional<double> rate_limit;
+  /// The target states that it is leaving.
+  bool is_leaving = false;
   /// Seconds after which the target closes the idle connection; 0 if not
   /// specified.
   std::uint32_t keep_alive_s = 0;
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -164,6 +164,8 @@
   void AcknowledgeLeave(std::function<void()> acknowledge);
   void RunPendingAcks(Millis now, const std::optional<ReportId>& seen);
   void LogInstance() const;
+  void LogLimit() const;
+  void LogLimitUsage(const LimitUsage& usage) const;
   void ScheduleTick();
   void Tick();
   void UpdateSettled(Millis now);
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -16,6 +16,7 @@
 #include "almondlink/control/demand_meter.h"
 #include "almondlink/control/error_rate.h"
 #include "almondlink/control/instance_tracker.h"
+#include "almondlink/control/named_limit.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/relay/target_pool.h"
 
@@ -44,6 +45,17 @@
   Millis deadline;
 };
 
+/// Requests that were sent to a target while it named a rate limit.
+struct LimitUsage {
+  Millis since;
+  Millis until;
+  std::uint32_t sent = 0;
+  /// Of them, or of those that were running at `since`: refused by the target.
+  std::uint64_t refused = 0;
+  /// Requests by the link that they came by.
+  std::map<LinkId, std::uint32_t> sent_by_link;
+};
+
 struct ServedEvents {
   std::function<void(LinkId, const AnswerFrame&)> on_answer;
   std::function<void(LinkId, const DataFrame&)> on_part;
@@ -58,6 +70,14 @@
   std::function<void(const control::InstanceIncarnation& incarnation,
                      std::size_t running)>
       on_target_crashed;
+  /// The target names a rate limit in its answers, another one than before, or
+  /// none any more; see ServedCalls::Limit().
+  std::function<void()> on_limit_changed;
+  /// Called every few seconds while the target names a limit.
+  std::function<void(const LimitUsage& usage)> on_limit_usage;
+  /// An answer of that incarnation of the target states that it is leaving.
+  std::function<void(const control::InstanceIncarnation& incarnation)>
+      on_says_leaving;
 };
 
 /// Counters for metrics; they never decrease.
@@ -68,6 +88,8 @@
   std::uint64_t not_sent = 0;
   std::uint64_t broken = 0;
   std::uint64_t cancelled = 0;
+  /// Requests that were sent to the target.
+  std::uint64_t sent = 0;
   /// Crashes of the target's process that were detected.
   std::uint64_t target_crashes = 0;
 };
@@ -137,6 +159,8 @@
   /// Whether the target's process is known to have crashed and has not reported
   /// since.
   bool IsTargetGone() const { return this->is_target_gone; }
+  /// The rate limit that the target names.
+  const control::NamedLimit& Limit() const { return this->limit; }
   const control::DemandMeter& Meter() const { return this->meter; }
   const ServedCounters& Counters() const { return this->counters; }
   std::uint32_t Running() const { return this->running; }
@@ -162,6 +186,11 @@
               const std::string& part,
               bool is_last,
               bool is_broken);
+  void ApplyNotices(const Call& call, const AnswerHead& head);
+  void ForgetNotices();
+  void StartLimitUsage(Millis now);
+  void CountSentUnderLimit(LinkId link);
+  void ReportLimitUsage(Millis now);
   void EndRun(const CallPointer& call);
   void EndRunsOfPreviousIncarnation();
   void OnConnectionLost(const CallPointer& call);
@@ -186,6 +215,10 @@
   control::InstanceTracker tracker;
   control::DemandMeter meter;
   ServedCounters counters;
+  control::NamedLimit limit;
+  LimitUsage limit_usage;
+  std::uint64_t refused_before_usage = 0;
+  bool has_said_leaving = false;
   control::ErrorRate errors;
   std::map<CallKey, CallPointer> calls;
   std::map<Order, CallPointer> queue;
--- a/libs/relay/src/http_parser.cc
+++ b/libs/relay/src/http_parser.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace almondlink::relay {
 
@@ -31,6 +32,13 @@
   return is_whole ? std::optional<Number>(value) : std::nullopt;
 }
 
+/// A rate in events per second; nothing unless it is a finite number from 0 up.
+std::optional<double> ParseRate(StringView text) {
+  const std::optional<double> rate = ParseNumber<double>(text);
+  const bool is_rate = rate.has_value() && std::isfinite(*rate) && *rate >= 0;
+  return is_rate ? rate : std::nullopt;
+}
+
 /// Seconds in `timeout=N` of a Keep-Alive field; 0 if absent.
 std::uint32_t KeepAliveTimeout(StringView value) {
   const std::size_t at = value.find("timeout=");
@@ -264,6 +272,10 @@
       this->head.is_not_run = true;
     } else if (IsField(name_text, this->names.instance_id)) {
       this->head.instance_id.assign(value.data(), value.size());
+    } else if (IsField(name_text, this->names.rate_limit)) {
+      this->head.rate_limit = ParseRate(value);
+    } else if (IsField(name_text, this->names.leaving)) {
+      this->head.is_leaving = value == "1";
     }
   }
   this->KeepField(name, name_text, value, this->head.fields);
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -22,6 +22,14 @@
   out.AddSingle("target_connects_total", "counter",
                 "Connections opened to the target.",
                 static_cast<double>(served.ConnectCount()));
+  out.AddSingle("target_sent_total", "counter", "Requests sent to the target.",
+                static_cast<double>(served.Counters().sent));
+  out.Begin("target_limit_per_s", "gauge",
+            "Requests per second that the target accepts from all nodes "
+            "together; absent while it names no limit.");
+  if (served.Limit().per_s.has_value()) {
+    out.Add("", *served.Limit().per_s);
+  }
   out.AddSingle("target_ends_total", "counter",
                 "Crashes of the target's process while it served calls.",
                 static_cast<double>(served.Counters().target_crashes));
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -130,55 +130,6 @@
   return events;
 }
 
-ServedEvents RelayNode::MakeServedEvents() {
-  ServedEvents events;
-  events.on_answer = [this](LinkId link, const AnswerFrame& frame) {
-    if (link == kLocalLink) {
-      this->entry.OnAnswer(this->peers.SelfPeer(), frame);
-      return;
-    }
-    if (const PeerLinkPointer open = this->peers.FindAcceptedLink(link)) {
-      Append(frame, open->OutputBuffer());
-      open->ScheduleFlush();
-    }
-  };
-  events.on_part = [this](LinkId link, const DataFrame& frame) {
-    if (link == kLocalLink) {
-      this->entry.OnPart(this->peers.SelfPeer(), frame);
-      return;
-    }
-    if (const PeerLinkPointer open = this->peers.FindAcceptedLink(link)) {
-      Append(frame, open->OutputBuffer());
-      open->ScheduleFlush();
-    }
-  };
-  events.on_failed = [this](const std::string& request_id, CallReason reason,
-                            bool was_sent, Millis waited) {
-    if (!WouldLog(kEventTargetCallFailed)) {
-      return;
-    }
-    LogEvent(kEventTargetCallFailed,
-             {{"request", request_id},
-              {"instance", this->served.Ledger().current.incarnation.id},
-              {"reason", ToString(reason)},
-              {"sent", was_sent ? "yes" : "no"},
-              {"after_ms", std::to_string(waited.count)},
-              {"running", std::to_string(this->served.Running())},
-              {"waiting", std::to_string(this->served.Waiting())}});
-  };
-  events.on_target_crashed = [this](const control::InstanceIncarnation& start,
-                                    std::size_t running) {
-    LogEvent(kEventTargetEnded,
-             {{"instance", start.id},
-              {"born", std::to_string(start.started_at)},
-              {"service", this->served.Ledger().current.service},
-              {"running", std::to_string(running)},
-              {"waiting", std::to_string(this->served.Waiting())}});
-    this->peers.AnnounceState();
-  };
-  return events;
-}
-
 Result<void> RelayNode::Start() {
   BOOST_LEAF_CHECK(this->callers.Listen(this->settings.caller_address));
   BOOST_LEAF_CHECK(this->peers.Listen());
@@ -258,19 +209,6 @@
   return !this->is_stopping && this->entry.Table() != nullptr;
 }
 
-void RelayNode::LogInstance() const {
-  const control::InstanceTracker& tracker = this->served.Ledger();
-  LogEvent(
-      kEventInstance,
-      {{"instance", tracker.current.incarnation.id},
-       {"born", std::to_string(tracker.current.incarnation.started_at)},
-       {"service", tracker.current.service},
-       {"state",
-        tracker.phase == control::InstancePhase::kReady ? "ready" : "leaving"},
-       {"capacity", std::to_string(tracker.current.capacity)},
-       {"sequence", std::to_string(tracker.current.sequence)}});
-}
-
 Result<void> RelayNode::OnReport(const control::InstanceReport& report,
                                  std::function<void()> acknowledge) {
   const policy::RouteTablePointer& table = this->entry.Table();
--- a/libs/relay/src/served_call.h
+++ b/libs/relay/src/served_call.h
@@ -9,7 +9,8 @@
 
 /// A call for the target beside this node, from its arrival to its outcome.
 /// ServedCalls is implemented in served_calls.cc (queueing, dispatch and
-/// outcomes) and served_crashes.cc (crashes of the target's process).
+/// outcomes), served_notices.cc (what the target states about itself in its
+/// answers) and served_crashes.cc (crashes of the target's process).
 struct ServedCalls::Call {
   LinkId link = 0;
   std::uint32_t id = 0;
@@ -26,6 +27,9 @@
   Millis arrived;
   Millis wait_until;
   LatencyMs dispatched;
+  /// When it was sent to the target, and to which incarnation.
+  Millis sent_at;
+  control::InstanceIncarnation sent_to;
   std::string request_id;
   std::string method;
   std::string request_head;
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -150,6 +150,10 @@
   ++this->running;
   ++this->started_runs.events;
   call->dispatched = PreciseNow();
+  call->sent_at = now;
+  call->sent_to = this->tracker.current.incarnation;
+  ++this->counters.sent;
+  this->CountSentUnderLimit(call->link);
   this->runs[call->request_id] = call;
   TargetRequest request = this->MakeRequest(*call, call->info.deadline - now);
   TargetEvents target_events;
@@ -216,6 +220,7 @@
                            const std::string& body,
                            bool has_more) {
   const LatencyMs work{PreciseNow().count - call->dispatched.count};
+  this->ApplyNotices(*call, head);
   AnswerFrame answer;
   answer.id = call->id;
   const bool has_not_run = head.is_not_run || head.status == kMisdirected;
@@ -381,6 +386,7 @@
     this->pool.CloseIdle();
     control::ResetWork(this->meter);
     this->errors = control::ErrorRate();
+    this->ForgetNotices();
     if (before.id == current.id) {
       this->EndRunsOfPreviousIncarnation();
     }
@@ -475,6 +481,7 @@
   }
   this->pool.Sweep(now);
   this->FillSlots(now);
+  this->ReportLimitUsage(now);
   if (now - this->meter.window_start >= Millis{100}) {
     const double span =
         static_cast<double>((now - this->meter.window_start).count);
--- a/libs/relay/tests/http_parser_test.cc
+++ b/libs/relay/tests/http_parser_test.cc
@@ -109,5 +109,30 @@
   REQUIRE(input == "extra");
 }
 
+TEST_CASE("a rate limit is a finite number from 0 up, anything else is none") {
+  HeaderNames names = kNames;
+  names.rate_limit = "X-Limit";
+  names.leaving = "X-Leaving";
+  const auto parse = [&names](const std::string& fields) {
+    AnswerParser parser(names);
+    std::string input =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + fields + "\r\n";
+    REQUIRE(parser.Feed(input) == ParseStatus::kDone);
+    // Callers receive the fields too.
+    REQUIRE(parser.head.fields == fields);
+    return parser.head;
+  };
+  REQUIRE(parse("X-Limit: 36.4\r\n").rate_limit == 36.4);
+  REQUIRE(parse("x-limit: 0\r\n").rate_limit == 0.0);
+  for (const char* text : {"soon", "-3", "nan", "inf", "1e999", "4 a second"}) {
+    CAPTURE(text);
+    REQUIRE(!parse(std::string("X-Limit: ") + text + "\r\n")
+                 .rate_limit.has_value());
+  }
+  REQUIRE(!parse("").is_leaving);
+  REQUIRE(!parse("X-Leaving: 0\r\n").is_leaving);
+  REQUIRE(parse("X-Leaving: 1\r\n").is_leaving);
+}
+
 }  // namespace
 }  // namespace almondlink::relay
