--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -143,12 +143,30 @@
   return true;
 }
 
+void FakeInstance::SetRateLimit(const std::string& text) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->rate_limit = text;
+}
+
+/// Fields that stand in all its answers.
+std::string FakeInstance::Notices() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::string fields;
+  if (!this->rate_limit.empty()) {
+    fields += "Server-Limit: " + this->rate_limit + "\r\n";
+  }
+  if (this->says_leaving) {
+    fields += "Server-Leaving: 1\r\n";
+  }
+  return fields;
+}
+
 Reaction FakeInstance::React(const FakeRequest& request,
                              const IsGone& is_gone) {
   const std::string id = Field(request, "Request-Id");
   const std::string echo = "Request-Id: " + id + "\r\n";
   const std::string own = this->Id();
-  const std::string seal = echo + "Response-Seal: " + own + "\r\n";
+  const std::string mark = "Response-Seal: " + own + "\r\n";
   Reaction reaction;
   if (Field(request, "Target-Instance") != own) {
     reaction.bytes = MakeAnswer(421, "Instance-Id: " + own + "\r\n", "");
@@ -156,7 +174,8 @@
   }
   const InstanceFault now = this->fault;
   if (now == InstanceFault::kShed || now == InstanceFault::kShedTwice) {
-    reaction.bytes = MakeAnswer(503, "Not-Executed: 1\r\n", "");
+    reaction.bytes =
+        MakeAnswer(503, "Not-Executed: 1\r\n" + this->Notices(), "");
     if (now == InstanceFault::kShedTwice) {
       reaction.late_bytes = reaction.bytes;
       reaction.pause = kSecondRefusal;
@@ -206,7 +225,8 @@
     reaction.hangs = this->spec.deadly_body == 0;
     if (!reaction.hangs) {
       const auto sent = static_cast<std::size_t>(this->spec.deadly_body);
-      reaction.bytes = MakeAnswer(200, seal, std::string(2 * sent, 'b'));
+      reaction.bytes = MakeAnswer(200, echo + mark + this->Notices(),
+                                  std::string(2 * sent, 'b'));
       reaction.bytes.resize(reaction.bytes.size() - sent);
     }
     // What was written has to go out first.
@@ -217,6 +237,7 @@
   const bool is_good = this->MakeCalls(request);
   --this->at_once;
   const std::string body(static_cast<std::size_t>(this->spec.body_size), 'b');
+  const std::string seal = echo + mark + this->Notices();
   if (!is_good) {
     reaction.bytes = MakeAnswer(500, seal, "a call failed");
     return reaction;
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -93,6 +93,12 @@
 
   void SetFault(InstanceFault fault) { this->fault = fault; }
   void SetWork(int milliseconds) { this->work_ms = milliseconds; }
+  /// Text of the rate limit in all its answers; empty: it names none.
+  void SetRateLimit(const std::string& text);
+  /// Whether all its answers state that it is leaving.
+  void SetSaysLeaving(bool says_leaving_in) {
+    this->says_leaving = says_leaving_in;
+  }
   /// Reports go on as ready, draining, or stop.
   void SetReports(bool are_on) { this->reports = are_on; }
   /// Sends one report now; the status of the answer, 0 if there was none.
@@ -115,11 +121,13 @@
   void Serve();
   void EndAndComeBack();
   std::string Id();
+  std::string Notices();
 
   Spec spec;
   std::atomic<InstanceFault> fault{InstanceFault::kNone};
   std::atomic<int> work_ms;
   std::atomic<bool> reports{true};
+  std::atomic<bool> says_leaving{false};
   std::atomic<bool> is_stopped{false};
   /// When it ends, on the steady clock; 0: not.
   std::atomic<std::int64_t> end_at{0};
@@ -131,6 +139,7 @@
   std::vector<SeenRequest> seen;
   std::unique_ptr<FakeServer> server;
   std::string id;
+  std::string rate_limit;
   std::thread life;
 };
 
