Relay: an answer that states that its target leaves drains the target

Callers' side: requests reached a target more than the drain time after their host had passed on an answer with Server-Leaving, and are cut off when the target ends.

Now such an answer counts as a leave of the incarnation that the request was sent to. It is announced ahead of the answer on each link, so a node that passes the answer on knows of the leave; peers return it to a node that restarts.

--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -163,6 +163,7 @@
   void OnPeerConnected(const PeerPointer& peer);
   void AcknowledgeLeave(std::function<void()> acknowledge);
   void RunPendingAcks(Millis now, const std::optional<ReportId>& seen);
+  void ApplyLeave(const control::InstanceIncarnation& start);
   void LogInstance() const;
   void LogLimit() const;
   void LogLimitUsage(const LimitUsage& usage) const;
--- a/libs/relay/src/node_target_events.cc
+++ b/libs/relay/src/node_target_events.cc
@@ -82,6 +82,9 @@
              {{"instance", start.id},
               {"born", std::to_string(start.started_at)},
               {"reported", NameOf(tracker.phase)}});
+    // Announced ahead of the answer on each link, so every node that passes
+    // the answer on knows of the leave.
+    this->ApplyLeave(start);
   };
   return events;
 }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -242,11 +242,15 @@
 
 void RelayNode::OnLeave(const control::InstanceIncarnation& start,
                         std::function<void()> acknowledge) {
+  this->ApplyLeave(start);
+  this->AcknowledgeLeave(std::move(acknowledge));
+}
+
+void RelayNode::ApplyLeave(const control::InstanceIncarnation& start) {
   if (this->served.OnLeave(start) == control::ReportEffect::kChanged) {
     this->LogInstance();
     this->peers.AnnounceState();
   }
-  this->AcknowledgeLeave(std::move(acknowledge));
 }
 
 void RelayNode::AcknowledgeLeave(std::function<void()> acknowledge) {
