Instance tracker: a leave that only peers know of has drained already

Found by a test for the same cause: what is known of a target and lost with the node beside it. Peers return a leave to a node that restarts, but the drain time began anew there, so a target that is the only one of its service got requests for up to 1.2 s more, later than the drain time after its leave was acknowledged or passed on.

The node now takes such a leave as drained. Others of the service are used; where there is none, requests are refused as not run instead of being sent to a target that may end at any moment.

--- a/libs/control/include/almondlink/control/instance_tracker.h
+++ b/libs/control/include/almondlink/control/instance_tracker.h
@@ -81,6 +81,8 @@
   std::map<InstanceIncarnation, std::uint64_t> superseded;
   /// Incarnations that are known to be leaving or gone.
   std::set<InstanceIncarnation> departed;
+  /// Of them, those that this node knows of from a peer only.
+  std::set<InstanceIncarnation> restored;
   SkewCandidate skew_candidate;
   /// Share of the reported capacity that is used. Targets slow down when nearly
   /// full (by a third above 95 %), and a new connection may hold a slot
@@ -110,11 +112,16 @@
                         const InstanceIncarnation& incarnation,
                         InstanceTracker& tracker);
 
-/// A peer reported that this incarnation was leaving.
+/// A peer reported that this incarnation was leaving, possibly before this node
+/// started.
 ReportEffect RestoreDeparted(Millis now,
                              const InstanceIncarnation& incarnation,
                              InstanceTracker& tracker);
 
+/// Whether the current instance has been leaving for more than `drain_time`, or
+/// since a time that this node does not know.
+bool HasDrained(Millis now, Millis drain_time, const InstanceTracker& tracker);
+
 /// Whether the current instance may have run requests before this node started:
 /// no instance has reported yet, or the current one had sent reports before its
 /// first one here.
--- a/libs/control/src/instance_tracker.cc
+++ b/libs/control/src/instance_tracker.cc
@@ -163,9 +163,23 @@
 ReportEffect RestoreDeparted(Millis now,
                              const InstanceIncarnation& incarnation,
                              InstanceTracker& tracker) {
+  if (tracker.departed.count(incarnation) == 0) {
+    tracker.restored.insert(incarnation);
+    TrimToLimit(tracker.restored);
+  }
   return ApplyLeave(now, incarnation, tracker);
 }
 
+bool HasDrained(Millis now, Millis drain_time, const InstanceTracker& tracker) {
+  if (tracker.phase != InstancePhase::kLeaving) {
+    return false;
+  }
+  const InstanceIncarnation& current = tracker.current.incarnation;
+  const bool is_restored = tracker.restored.count(current) != 0 ||
+                           tracker.restored.count({current.id, 0}) != 0;
+  return is_restored || now - tracker.leaving_since > drain_time;
+}
+
 bool MayBeOlderThanNode(const InstanceTracker& tracker) {
   return tracker.phase == InstancePhase::kNone ||
          tracker.first_sequence > kMaxFirstSequence;
--- a/libs/control/tests/instance_tracker_test.cc
+++ b/libs/control/tests/instance_tracker_test.cc
@@ -187,5 +187,26 @@
   REQUIRE_FALSE(MayBeOlderThanNode(tracker));
 }
 
+/// Guards against a drain time that begins anew when the node beside the target
+/// starts again.
+TEST_CASE("an instance that leaves by a peer's word has drained already") {
+  InstanceTracker tracker;
+  RestoreDeparted(Millis{0}, {"i-1", 1000}, tracker);
+  ApplyReport(Millis{5000}, Report(1000, 90), tracker);
+  REQUIRE(HasDrained(Millis{5000}, Millis{1200}, tracker));
+  // Its successor has not.
+  ApplyReport(Millis{6000}, Report(2000, 1), tracker);
+  REQUIRE(!HasDrained(Millis{9000}, Millis{1200}, tracker));
+}
+
+TEST_CASE("a peer's word does not shorten a leave that is known here") {
+  InstanceTracker tracker;
+  ApplyReport(Millis{0}, Report(1000, 90), tracker);
+  ApplyLeave(Millis{100}, {"i-1", 1000}, tracker);
+  RestoreDeparted(Millis{200}, {"i-1", 1000}, tracker);
+  REQUIRE(!HasDrained(Millis{1300}, Millis{1200}, tracker));
+  REQUIRE(HasDrained(Millis{1301}, Millis{1200}, tracker));
+}
+
 }  // namespace
 }  // namespace almondlink::control
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -57,8 +57,7 @@
 bool ServedCalls::IsPastDrain(Millis now) const {
   const Millis allowed{static_cast<std::int64_t>(
       static_cast<double>(this->drain.count) * kDrainShare)};
-  return this->tracker.phase == control::InstancePhase::kLeaving &&
-         now - this->tracker.leaving_since > allowed;
+  return control::HasDrained(now, allowed, this->tracker);
 }
 
 CallReason ServedCalls::ReasonToReject(Millis now, const CallFrame& frame) {
--- a/test/process/relay_leaving_answer_test.cc
+++ b/test/process/relay_leaving_answer_test.cc
@@ -101,6 +101,23 @@
                              portal.cluster.Instance(0).Seen(), 0) == 0);
 }
 
+/// Guards against a drain time that begins anew when the node beside the target
+/// starts again.
+TEST_CASE("a restart of the node beside it does not give it more time") {
+  Portal portal(30400, "leaving-only-restart", 1);
+  SteadyLoad load(portal.cluster, portal.Load());
+  std::this_thread::sleep_for(seconds(1));
+  portal.cluster.Instance(0).SetSaysLeaving(true);
+  std::this_thread::sleep_for(milliseconds(1000));
+  portal.cluster.Node(0).Kill();
+  std::this_thread::sleep_for(milliseconds(500));
+  portal.cluster.StartNode(0);
+  std::this_thread::sleep_for(seconds(5));
+  const std::vector<LoadRecord> sent = load.Stop();
+  CHECK(RequestsAfterLeaving("i-portal-0", sent,
+                             portal.cluster.Instance(0).Seen(), 0) == 0);
+}
+
 TEST_CASE("its successor beside the same node is used") {
   Portal portal(30300, "leaving-successor");
   SteadyLoad load(portal.cluster, portal.Load());
