--- a/test/process/relay_named_limit_test.cc
+++ b/test/process/relay_named_limit_test.cc
@@ -1,3 +1,5 @@
+#include <signal.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -20,14 +22,17 @@
 
 const std::vector<RouteSpec> kRoutes = {
     {"status", "portal.example", "/status/", "portal"},
-    {"once", "portal.example", "/once/", "portal", "unsafe"}};
+    {"once", "portal.example", "/once/", "portal", "unsafe"},
+    {"front", "portal.example", "/front/", "front"}};
 
 /// Four targets of one service in three availability zones, and a node beside
 /// a target of another service; callers at all of them.
 struct Portal {
   RelayCluster cluster;
 
-  Portal(int port, const std::string& name) : cluster(port, name) {
+  Portal(int port, const std::string& name, const std::string& decisions = "")
+      : cluster(port, name) {
+    this->cluster.SetDecisions(decisions);
     for (int i = 0; i < kTargets; ++i) {
       standins::FakeInstance::Spec spec =
           Spec("i-portal-" + std::to_string(i), "portal");
@@ -109,7 +114,12 @@
 }
 
 TEST_CASE("a service whose targets all name limits is used up to them") {
-  Portal portal(29200, "limit-all");
+  // Loads are told by each node to all, and as sums of groups.
+  const bool is_summed = GENERATE(false, true);
+  CAPTURE(is_summed);
+  Portal portal(is_summed ? 29250 : 29200,
+                is_summed ? "limit-all-summed" : "limit-all",
+                is_summed ? "direct_nodes = 1\n" : "");
   constexpr double kPerTarget = 10;
   SteadyLoad load(portal.cluster, portal.Load("/status/1", 30));
   std::this_thread::sleep_for(seconds(1));
@@ -194,6 +204,87 @@
         0);
 }
 
+TEST_CASE("a limit of a service deep in the chain refuses requests at entry") {
+  RelayCluster cluster(29700, "limit-deep");
+  constexpr int kCallsPerRoot = 3;
+  constexpr double kPerTarget = 15;
+  for (int i = 0; i < kTargets; ++i) {
+    standins::FakeInstance::Spec spec =
+        Spec("i-portal-" + std::to_string(i), "portal");
+    spec.capacity = 64;
+    spec.work_ms = 10;
+    cluster.Add(spec, "zone-" + std::to_string(i % 3));
+  }
+  for (int i = 0; i < 2; ++i) {
+    standins::FakeInstance::Spec spec =
+        Spec("i-front-" + std::to_string(i), "front");
+    spec.capacity = 64;
+    spec.calls.assign(kCallsPerRoot, {"portal.example", "/status/1"});
+    cluster.Add(spec, "zone-" + std::to_string(i));
+  }
+  cluster.Configure(1, kRoutes);
+  cluster.WaitReady();
+  SteadyLoad::Spec spec;
+  spec.nodes = {0, 1, 2, 3, 4, 5};
+  spec.per_s_and_node = 10;
+  spec.host = "portal.example";
+  spec.path = "/front/1";
+  SteadyLoad load(cluster, spec);
+  std::this_thread::sleep_for(seconds(2));
+  std::vector<NamedRate> limits;
+  limits.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
+    cluster.Instance(i).SetRateLimit(std::to_string(kPerTarget));
+    limits.push_back({"i-portal-" + std::to_string(i), kPerTarget,
+                      std::chrono::steady_clock::now()});
+  }
+  std::this_thread::sleep_for(kObserved);
+  const std::vector<LoadRecord> sent = load.Stop();
+  int served = 0;
+  int failed = 0;
+  // Admission has settled a second after the limits.
+  const SteadyTime settled = limits.front().since + seconds(1);
+  for (const LoadRecord& record : sent) {
+    served += record.sent >= settled && record.status == 200 ? 1 : 0;
+    failed +=
+        record.sent >= settled && record.status != 200 && record.status != 503
+            ? 1
+            : 0;
+  }
+  for (int i = 0; i < kTargets; ++i) {
+    CHECK(ArrivalsOverLimit(limits[static_cast<std::size_t>(i)],
+                            cluster.Instance(i).Seen()) == 0);
+  }
+  const double allowed =
+      kPerTarget * kTargets / kCallsPerRoot *
+      std::chrono::duration<double>(kObserved - seconds(1)).count();
+  INFO("served " << served << " and failed " << failed << " of " << sent.size()
+                 << ", allowed " << allowed);
+  CHECK(served > 0.95 * allowed);
+  CHECK(failed < 0.05 * allowed);
+}
+
+TEST_CASE("a limit that changes each second holds over a frozen node") {
+  Portal portal(29800, "limit-changes");
+  SteadyLoad load(portal.cluster, portal.Load("/status/1", 40));
+  std::this_thread::sleep_for(seconds(1));
+  // The highest of them bounds the count.
+  const NamedRate named = portal.Name(0, 10);
+  for (int i = 0; i < 10; ++i) {
+    portal.cluster.Instance(0).SetRateLimit(std::to_string(10 - i % 3));
+    if (i == 4) {
+      portal.cluster.Node(0).Signal(SIGSTOP);
+    }
+    std::this_thread::sleep_for(seconds(1));
+    if (i == 5) {
+      portal.cluster.Node(0).Signal(SIGCONT);
+    }
+  }
+  const std::vector<LoadRecord> sent = load.Stop();
+  CHECK(RequestsOverLimit(named, sent, portal.cluster.Instance(0).Seen(), 0) ==
+        0);
+}
+
 TEST_CASE("a limit that is no number is no limit") {
   Portal portal(29600, "limit-malformed");
   for (const char* text : {"soon", "-3", "nan", "inf", "1e999", "4 a second"}) {
--- a/test/support/target_notices.cc
+++ b/test/support/target_notices.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace almondlink::test {
 
@@ -45,6 +46,25 @@
   return by_id;
 }
 
+/// By how many the arrivals exceed the bound in the worst window.
+int MostOverLimit(const NamedRate& limit, std::vector<SteadyTime> counted) {
+  std::sort(counted.begin(), counted.end());
+  const double seconds = std::chrono::duration<double>(kLimitWindow).count();
+  const int allowed = static_cast<int>(
+      std::floor(kLimitFactor * limit.per_s * seconds + kLimitExtra));
+  int most_over = 0;
+  for (auto last = counted.begin(); last != counted.end(); ++last) {
+    if (*last < limit.since + kContact) {
+      continue;
+    }
+    const auto first =
+        std::upper_bound(counted.begin(), last, *last - kLimitWindow);
+    const int arrivals = static_cast<int>(last - first) + 1;
+    most_over = std::max(most_over, arrivals - allowed);
+  }
+  return most_over;
+}
+
 }  // namespace
 
 int RequestsOverLimit(const NamedRate& limit,
@@ -69,21 +89,19 @@
       counted.push_back(request.at);
     }
   }
-  std::sort(counted.begin(), counted.end());
-  const double seconds = std::chrono::duration<double>(kLimitWindow).count();
-  const int allowed = static_cast<int>(
-      std::floor(kLimitFactor * limit.per_s * seconds + kLimitExtra));
-  int most_over = 0;
-  for (auto last = counted.begin(); last != counted.end(); ++last) {
-    if (*last < limit.since + kContact) {
-      continue;
+  return MostOverLimit(limit, std::move(counted));
+}
+
+int ArrivalsOverLimit(const NamedRate& limit,
+                      const std::vector<standins::SeenRequest>& arrived) {
+  std::vector<SteadyTime> counted;
+  for (const standins::SeenRequest& request : arrived) {
+    if (request.instance == limit.instance &&
+        request.at >= limit.since + kToldBefore) {
+      counted.push_back(request.at);
     }
-    const auto first =
-        std::upper_bound(counted.begin(), last, *last - kLimitWindow);
-    const int arrivals = static_cast<int>(last - first) + 1;
-    most_over = std::max(most_over, arrivals - allowed);
   }
-  return most_over;
+  return MostOverLimit(limit, std::move(counted));
 }
 
 int RequestsAfterLeaving(const std::string& instance,
--- a/test/support/target_notices.h
+++ b/test/support/target_notices.h
@@ -28,6 +28,11 @@
                       const std::vector<standins::SeenRequest>& arrived,
                       int excused = -1);
 
+/// The same without regard to who was told: all requests that arrive half a
+/// second after the limit was named, or later, count.
+int ArrivalsOverLimit(const NamedRate& limit,
+                      const std::vector<standins::SeenRequest>& arrived);
+
 /// Requests that reached the instance although they were sent later than the
 /// drain time after their node had passed on an answer that states that the
 /// instance is leaving. `excused` as above.
