Soak: instances that name a limit, and that say that they leave, in their answers

Two more kinds of faults: a limit of 1 to 10 requests a second for five seconds, and a leave that only answers state, while reports go on as ready. All arrivals count.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -7,11 +7,14 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
-#include <set>
 #include <thread>
+#include <utility>
 
+#include "test/soak/repeat_check.h"
 #include "test/support/relay_cluster.h"
+#include "test/support/target_notices.h"
 
 namespace almondlink::test {
 
@@ -26,13 +29,14 @@
 constexpr double kCallersPerNode = 1.7;
 /// Policies written one right after the other.
 constexpr int kSeries = 5;
-/// The bound on repeats, as in the nodes' settings.
-constexpr double kRepeatRatio = 0.2;
-constexpr double kRepeatFixed = 40;
-constexpr Millis kRepeatWindow{10'000};
 /// Time within which a leaving instance must get nothing more, as in the nodes'
 /// settings.
 constexpr Millis kDrain{2000};
+/// Within this time after the first request its answer has been passed on.
+constexpr Millis kPassedOn{300};
+/// Time for which an instance names a limit or says that it leaves: until the
+/// rule binds, and some more.
+constexpr Millis kNotice{5200};
 /// After the last fault everything is back within this time.
 constexpr Millis kRecovery{6000};
 constexpr Millis kMeasured{1500};
@@ -110,8 +114,8 @@
   }
 
   std::string NextInstance(int node) {
-    return "i-" + std::to_string(node) + "-" +
-           std::to_string(++this->instances);
+    return this->instance_of[node] = "i-" + std::to_string(node) + "-" +
+                                     std::to_string(++this->instances);
   }
 
   std::uint64_t Draw(std::uint64_t below) {
@@ -237,6 +241,12 @@
         case 13:
           this->KillMany(this->Draw(3) == 0);
           break;
+        case 16:
+          this->LimitInstance(node);
+          break;
+        case 17:
+          this->SayLeaving(node);
+          break;
         case 14:
           this->Note("a series of policies");
           for (int i = 0; i < kSeries; ++i) {
@@ -337,6 +347,49 @@
     this->cluster.ReplaceInstance(node, this->NextInstance(node));
   }
 
+  /// The instance names a limit in its answers for a while.
+  void LimitInstance(int node) {
+    const auto per_s = static_cast<double>(1 + this->Draw(10));
+    this->Note("instance " + std::to_string(node) + " names a limit of " +
+               std::to_string(per_s));
+    standins::FakeInstance& limited = this->cluster.Instance(node);
+    limited.SetFault(InstanceFault::kNone);
+    limited.SetRateLimit(std::to_string(per_s));
+    const NamedRate named{this->instance_of[node], per_s, Clock::now()};
+    std::this_thread::sleep_for(kNotice);
+    const int over = ArrivalsOverLimit(named, limited.Seen());
+    if (over > 0) {
+      this->Break("LIMIT: " + std::to_string(over) + " requests too many at " +
+                  named.instance);
+    }
+    limited.SetRateLimit("");
+  }
+
+  /// The instance says that it leaves in its answers only, and another takes
+  /// its place.
+  void SayLeaving(int node) {
+    this->Note("instance " + std::to_string(node) + " says that it leaves");
+    standins::FakeInstance& leaving = this->cluster.Instance(node);
+    leaving.SetFault(InstanceFault::kNone);
+    const auto since = Clock::now();
+    leaving.SetSaysLeaving(true);
+    std::this_thread::sleep_for(kNotice);
+    std::optional<Clock::time_point> first;
+    for (const standins::SeenRequest& seen : leaving.Seen()) {
+      if (seen.at >= since) {
+        first = std::min(seen.at, first.value_or(seen.at));
+      }
+    }
+    for (const standins::SeenRequest& seen : leaving.Seen()) {
+      if (first.has_value() && seen.at > *first + kPassedOn + kDrain) {
+        this->Break("DRAIN: " + seen.id +
+                    " reached an instance that says that it leaves");
+      }
+    }
+    this->Collect(node);
+    this->cluster.ReplaceInstance(node, this->NextInstance(node));
+  }
+
   void Restore() {
     this->Note("everything is whole again");
     this->cluster.Store().SetFaults(StoreFault::kNone);
@@ -394,7 +447,13 @@
       this->Collect(node);
     }
     for (auto& [service, all] : this->arrivals) {
-      this->CheckRepeats(service, all);
+      const RepeatCheck check = CheckRepeats(std::move(all));
+      this->result.repeats += check.repeats;
+      if (check.is_broken) {
+        this->Break("BUDGET: " + std::to_string(check.worst_repeats) +
+                    " repeats at " + service + " for " +
+                    std::to_string(check.worst_requests) + " requests");
+      }
     }
     for (const Told& entry : this->told) {
       const int runs = this->runs[entry.id];
@@ -407,48 +466,16 @@
     }
   }
 
-  /// In any window the arrivals beyond the first of each request stay within
-  /// the bound, over all nodes and however many of them started anew.
-  void CheckRepeats(
-      const std::string& service,
-      std::vector<std::pair<Clock::time_point, std::string>>& all) {
-    std::sort(all.begin(), all.end());
-    std::set<std::string> known;
-    std::vector<Clock::time_point> firsts;
-    std::vector<Clock::time_point> repeats;
-    for (const auto& [at, id] : all) {
-      (known.insert(id).second ? firsts : repeats).push_back(at);
-    }
-    const auto count = [](const std::vector<Clock::time_point>& times,
-                          Clock::time_point from) {
-      return std::lower_bound(times.begin(), times.end(),
-                              from + kRepeatWindow) -
-             std::lower_bound(times.begin(), times.end(), from);
-    };
-    for (const Clock::time_point& from : repeats) {
-      const auto many = static_cast<double>(count(repeats, from));
-      const auto requests = static_cast<double>(
-          std::max({count(firsts, from), count(firsts, from - kRepeatWindow),
-                    count(firsts, from - kRepeatWindow / 2)}));
-      if (many > kRepeatRatio * requests + kRepeatFixed) {
-        this->Break("BUDGET: " + std::to_string(many) + " repeats at " +
-                    service + " for " + std::to_string(requests) + " requests");
-        return;
-      }
-    }
-    this->result.repeats += static_cast<int>(repeats.size());
-  }
-
   SoakOptions options;
   std::mt19937_64 random;
   RelayCluster cluster;
   SoakResult result;
   Clock::time_point started = Clock::now();
   std::map<int, std::string> service_of;
+  std::map<int, std::string> instance_of;
   std::map<std::string, int> runs;
   /// What reached the targets of each service.
-  std::map<std::string, std::vector<std::pair<Clock::time_point, std::string>>>
-      arrivals;
+  std::map<std::string, std::vector<Arrival>> arrivals;
   std::vector<Told> told;
   std::vector<std::thread> callers;
   std::mutex mutex;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -11,7 +11,7 @@
 namespace almondlink::test {
 
 /// Kinds of faults that there are.
-constexpr std::uint64_t kFaultKinds = 16;
+constexpr std::uint64_t kFaultKinds = 18;
 
 struct SoakOptions {
   std::uint64_t seed = 1;
