--- a/libs/relay/src/entry_attempts.cc
+++ b/libs/relay/src/entry_attempts.cc
@@ -167,14 +167,14 @@
   peer->reported.running = frame.running;
   peer->reported.waiting = frame.waiting;
   peer->reported.error_rate = frame.error_rate;
-  const Millis now = BootTimeNow();
   peer->reported.limit_per_s = frame.limit_per_s;
-  peer->limited_until =
-      frame.limit_wait_ms == 0 ? now : now + Millis{frame.limit_wait_ms};
+  peer->limited_until = frame.limit_wait_ms == 0
+                            ? Millis{0}
+                            : BootTimeNow() + Millis{frame.limit_wait_ms};
   if (peer->reported.is_load_summed) {
     peer->reported.work_ms = frame.target_work_ms;
     peer->reported.calls_per_run = frame.target_calls_per_run;
-    peer->reported_at = now;
+    peer->reported_at = BootTimeNow();
   }
   peer->sent_since_report = 0;
   const auto found = this->calls.find(frame.id);
@@ -212,7 +212,8 @@
     call->reached_nodes.push_back(peer->node.name);
     call->may_have_run = true;
     const PeerPointer next = this->NextPeer(*call);
-    if (next != nullptr && this->AcquireRepeat(now, *call, CallReason::kNone)) {
+    if (next != nullptr &&
+        this->AcquireRepeat(BootTimeNow(), *call, CallReason::kNone)) {
       if (WouldLog(kEventSentAgain)) {
         LogEvent(kEventSentAgain,
                  {{"request", call->head.id},
--- a/libs/relay/src/served_calls.cc
+++ b/libs/relay/src/served_calls.cc
@@ -320,9 +320,12 @@
   answer.error_rate = this->ErrorRate();
   answer.target_work_ms = control::MeanWorkMs(this->Meter());
   answer.target_calls_per_run = this->CallsPerRun();
-  answer.limit_per_s = this->limit.per_s;
-  answer.limit_wait_ms = static_cast<std::uint32_t>(
-      control::ReserveSend(BootTimeNow(), this->Waiting(), this->limit).count);
+  if (this->limit.per_s.has_value()) {
+    answer.limit_per_s = this->limit.per_s;
+    const Millis wait =
+        control::ReserveSend(BootTimeNow(), this->Waiting(), this->limit);
+    answer.limit_wait_ms = static_cast<std::uint32_t>(wait.count);
+  }
 }
 
 void ServedCalls::SendOutcome(const CallPointer& call,
--- a/libs/relay/src/served_notices.cc
+++ b/libs/relay/src/served_notices.cc
@@ -58,6 +58,10 @@
     return;
   }
   this->has_answered = true;
+  const bool states_nothing = !head.rate_limit.has_value() && !head.is_leaving;
+  if (states_nothing && !this->limit.per_s.has_value()) {
+    return;
+  }
   const Millis now = BootTimeNow();
   if (control::UpdateNamedLimit(now, call.sent_at, head.rate_limit,
                                 this->limit)) {
