--- a/libs/control/include/almondlink/control/named_limit.h
+++ b/libs/control/include/almondlink/control/named_limit.h
@@ -31,8 +31,9 @@
   std::optional<double> per_s;
   /// When an answer last named it.
   Millis named_at;
-  /// Limit that was last reported, see UpdateNamedLimit().
+  /// Limit that was last reported, see UpdateNamedLimit(), and when.
   std::optional<double> reported_per_s;
+  Millis reported_at;
   TokenBucket bucket;
   /// Time of the last reservation, in milliseconds.
   double reserved_until = 0;
@@ -41,7 +42,7 @@
 /// Applies one answer of the target. `sent_at`: when its request was sent;
 /// `per_s`: the limit that the answer names. Returns true if the limit is to be
 /// reported: it is new, was lifted, or differs by a tenth from the one that was
-/// last reported.
+/// last reported, a second ago or earlier.
 bool UpdateNamedLimit(Millis now,
                       Millis sent_at,
                       std::optional<double> per_s,
--- a/libs/control/src/named_limit.cc
+++ b/libs/control/src/named_limit.cc
@@ -11,6 +11,8 @@
 constexpr Millis kLimitRetention{500};
 /// Relative change of a limit that is reported.
 constexpr double kReportedChange = 0.1;
+/// Minimum time between reports of changes: each goes to all nodes.
+constexpr Millis kReportInterval{1000};
 /// Limits from here on bind no target.
 constexpr double kMaxRate = 1e6;
 /// Requests per second that are sent whatever the limit: only an answer tells
@@ -42,12 +44,13 @@
   limit.reserved_until = 0;
 }
 
-bool DiffersNotably(const std::optional<double>& limit,
-                    const std::optional<double>& reported) {
-  if (!limit.has_value() || !reported.has_value()) {
-    return limit.has_value() != reported.has_value();
+bool IsToBeReported(Millis now, const NamedLimit& limit) {
+  const std::optional<double>& reported = limit.reported_per_s;
+  if (!limit.per_s.has_value() || !reported.has_value()) {
+    return limit.per_s.has_value() != reported.has_value();
   }
-  return std::abs(*limit - *reported) > kReportedChange * *reported;
+  return now - limit.reported_at >= kReportInterval &&
+         std::abs(*limit.per_s - *reported) > kReportedChange * *reported;
 }
 
 }  // namespace
@@ -65,9 +68,10 @@
   } else if (sent_at - limit.named_at >= kLimitRetention) {
     limit.per_s.reset();
   }
-  const bool is_reported = DiffersNotably(limit.per_s, limit.reported_per_s);
+  const bool is_reported = IsToBeReported(now, limit);
   if (is_reported) {
     limit.reported_per_s = limit.per_s;
+    limit.reported_at = now;
   }
   return is_reported;
 }
