Served calls: a queued call is returned for a limit only while it is queued

Found by reading the change: when a target names another limit, queued calls that may move are returned one after the other. A sender on the same node reacts to each return at once, by which another call of the list may be sent to the target; it would then have been returned as not sent and run a second time elsewhere. Calls already sent or withdrawn are left alone, and nothing is returned when a limit ends.

--- a/libs/relay/src/served_notices.cc
+++ b/libs/relay/src/served_notices.cc
@@ -111,8 +111,12 @@
   this->events.on_limit_changed();
 }
 
-/// Returns the queued calls for which their senders have other targets.
+/// Returns the queued calls for which their senders have other targets, if the
+/// target names a limit.
 void ServedCalls::RejectMovable() {
+  if (!this->limit.per_s.has_value()) {
+    return;
+  }
   std::vector<CallPointer> movable;
   for (const auto& [order, call] : this->queue) {
     if (call->may_move) {
@@ -120,6 +124,11 @@
     }
   }
   for (const CallPointer& call : movable) {
+    // A sender on this node may have sent or withdrawn it meanwhile: it reacts
+    // to the return of another call at once.
+    if (this->queue.count(call->order) == 0) {
+      continue;
+    }
     control::RemoveRefusedDemand(call->info.root_route, this->meter);
     this->Reject(call, CallReason::kRateLimited);
   }
