Tests: the walk from an id waits for the line of a node that is late

Traced by its logs: the node of the calling service ended the call at 41.750, 1.3 s after its deadline (left_ms=-1295; it looks each 50 ms), so it had no processor time for that long; the test read the logs 0.4 s after the answer of 40.501. The test now reads until that line is there, as tests here do elsewhere, and then makes the same checks.

--- a/test/process/relay_explain_test.cc
+++ b/test/process/relay_explain_test.cc
@@ -101,6 +101,10 @@
   const unsigned status =
       cluster.Call(2, "shop.example", "/shop/1", "deep").status;
   REQUIRE((status == 504 || status == 500));
+  // A node that gets no processor time writes its line later.
+  REQUIRE(Soon([&cluster]() {
+    return Has(Explain(cluster, 3, "deep").text, "request=deep.1 parent=deep ");
+  }));
   const Explained explained = Explain(cluster, 3, "deep");
   REQUIRE(explained.code == 0);
   REQUIRE(Has(explained.text, "request=deep "));
