--- a/cmake/almondlink.cmake
+++ b/cmake/almondlink.cmake
@@ -1,7 +1,8 @@
 # almondlink_library(NAME DEPS...): a library in Filament's layout. Public
 # headers are in include/, sources in src/, tests in tests/.
 function(almondlink_library name)
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc
+    ${CMAKE_CURRENT_SOURCE_DIR}/src/*/*.cc)
   add_library(almondlink_${name} STATIC ${sources})
   target_include_directories(almondlink_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
   target_include_directories(almondlink_${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
--- a/libs/relay/src/answer_text.h
+++ b/libs/relay/src/entry/answer_text.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_ANSWER_TEXT_H_
-#define ALMONDLINK_RELAY_SRC_ANSWER_TEXT_H_
+#ifndef ALMONDLINK_RELAY_SRC_ENTRY_ANSWER_TEXT_H_
+#define ALMONDLINK_RELAY_SRC_ENTRY_ANSWER_TEXT_H_
 
 #include <cstdint>
 #include <string>
@@ -25,4 +25,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_ANSWER_TEXT_H_
+#endif  // ALMONDLINK_RELAY_SRC_ENTRY_ANSWER_TEXT_H_
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/entry/caller_session.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
-#define ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
+#ifndef ALMONDLINK_RELAY_SRC_ENTRY_CALLER_SESSION_H_
+#define ALMONDLINK_RELAY_SRC_ENTRY_CALLER_SESSION_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -106,4 +106,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_CALLER_SESSION_H_
+#endif  // ALMONDLINK_RELAY_SRC_ENTRY_CALLER_SESSION_H_
--- a/libs/relay/src/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
-#define ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
+#ifndef ALMONDLINK_RELAY_SRC_ENTRY_ENTRY_CALL_H_
+#define ALMONDLINK_RELAY_SRC_ENTRY_ENTRY_CALL_H_
 
 #include <optional>
 #include <string>
@@ -94,4 +94,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_ENTRY_CALL_H_
+#endif  // ALMONDLINK_RELAY_SRC_ENTRY_ENTRY_CALL_H_
--- a/libs/relay/src/frame_codec.h
+++ b/libs/relay/src/exchange/frame_codec.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
-#define ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
+#ifndef ALMONDLINK_RELAY_SRC_EXCHANGE_FRAME_CODEC_H_
+#define ALMONDLINK_RELAY_SRC_EXCHANGE_FRAME_CODEC_H_
 
 #include <algorithm>
 #include <boost/endian/conversion.hpp>
@@ -208,4 +208,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_FRAME_CODEC_H_
+#endif  // ALMONDLINK_RELAY_SRC_EXCHANGE_FRAME_CODEC_H_
--- a/libs/relay/src/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_SERVED_CALL_H_
-#define ALMONDLINK_RELAY_SRC_SERVED_CALL_H_
+#ifndef ALMONDLINK_RELAY_SRC_SERVING_SERVED_CALL_H_
+#define ALMONDLINK_RELAY_SRC_SERVING_SERVED_CALL_H_
 
 #include <string>
 
@@ -44,4 +44,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_SERVED_CALL_H_
+#endif  // ALMONDLINK_RELAY_SRC_SERVING_SERVED_CALL_H_
--- a/libs/relay/src/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -1,5 +1,5 @@
-#ifndef ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
-#define ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
+#ifndef ALMONDLINK_RELAY_SRC_SERVING_TARGET_CONNECTION_H_
+#define ALMONDLINK_RELAY_SRC_SERVING_TARGET_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
@@ -83,4 +83,4 @@
 
 }  // namespace almondlink::relay
 
-#endif  // ALMONDLINK_RELAY_SRC_TARGET_CONNECTION_H_
+#endif  // ALMONDLINK_RELAY_SRC_SERVING_TARGET_CONNECTION_H_
