Interfaces of decisions under sustained load: sums over all nodes, frame fields, switches, events

Cause: admission, queues and placement under sustained load need figures that no node holds: refusals by targets, returning callers, demand by account, run times by route, load by zone.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -213,6 +213,45 @@
 /// by its reports until then.
 constexpr Event kEventTargetSaysLeaving{633, Level::kInfo,
                                         "target-says-leaving", Volume::kRare};
+/// At `service`, which is short, requests of `given_up` are refused so that
+/// more requests of the less urgent `served` are served whole: `ratio` of them
+/// for each. Logged when it begins, ends or changes by a tenth.
+constexpr Event kEventRoutesExchanged{634, Level::kInfo, "routes-exchanged",
+                                      Volume::kRare};
+/// Calls left the queue of this target unrun because they could not have ended
+/// in time: `expired` in the last ten seconds, of `queued`; `overtaken` calls
+/// were run before a more urgent one that had more time.
+constexpr Event kEventQueueLeft{635, Level::kInfo, "queue-left", Volume::kRare};
+/// Refused callers of `route` are told to return after `retry_after_ms` because
+/// room is expected then; `invited` of them per second may return, `returned`
+/// did.
+constexpr Event kEventReturnsPlanned{636, Level::kInfo, "returns-planned",
+                                     Volume::kRare};
+/// Accounts of `route` share what `service` can serve: each is admitted up to
+/// `level` times its granted rate. `above` accounts of this node ask for more;
+/// `age_ms` is the age of the demand.
+constexpr Event kEventAccountLevel{637, Level::kInfo, "account-level",
+                                   Volume::kRare};
+/// The speed of the target beside this node relative to the others of its
+/// service changed to `speed`, or its usable share of slots to `usable`.
+/// `warmup_ms` is what is left of its announced warm-up.
+constexpr Event kEventTargetSpeed{638, Level::kInfo, "target-speed",
+                                  Volume::kRare};
+/// `moved` queued calls were returned unrun by this target in the last ten
+/// seconds because other targets of the service had free slots; `denied` stayed
+/// because of the bound on moves.
+constexpr Event kEventCallsMoved{639, Level::kInfo, "calls-moved",
+                                 Volume::kRare};
+/// The nodes of this zone have more calls for `service` than its targets there
+/// can run: `surplus` of them go to other zones. Logged when it begins, ends or
+/// changes by a tenth.
+constexpr Event kEventZoneSurplus{640, Level::kInfo, "zone-surplus",
+                                  Volume::kRare};
+/// The targets of `service` refuse `refused` of their calls. Root requests
+/// beyond what the bound on repeats can complete (`repeats_per_s`) are refused
+/// at entry. Logged when it begins, ends or changes by a tenth.
+constexpr Event kEventRootsNotCarried{641, Level::kInfo, "roots-not-carried",
+                                      Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -186,6 +186,38 @@
   double by_cost;
   /// Part of the way to a new share that a tenth of a second goes.
   double share_step;
+  /// At a service that is short, a request of a more urgent route is refused
+  /// for requests of a less urgent one of the same account priority only where
+  /// at least this many of those are served whole for it. The most urgent route
+  /// never is. 0: routes are served by priority alone.
+  double exchange_ratio;
+  /// Where a service's targets refuse a part of their calls, no more root
+  /// requests are admitted than the bound on repeats can complete.
+  bool carry_roots;
+  /// Calls that wait for a slot are run by the latest time at which they can
+  /// still end in time; otherwise by priority, depth and arrival.
+  bool queue_by_due;
+  /// A call that waits at a target while others of its service have free slots
+  /// is returned unrun and sent there.
+  bool move_waiting;
+  /// Of requests of the same class, those that were refused before and return
+  /// as told are admitted first, and Retry-After follows the room that is
+  /// expected.
+  bool returning_first;
+  /// At a service that is short, the client accounts of a class share what is
+  /// admitted in proportion to the rates that the policy grants them.
+  bool fair_accounts;
+  /// Targets are chosen by the chance that a request ends there in the time
+  /// that it has left, from measured run times and speeds.
+  bool fit_targets;
+  /// A target that announces that it is warming up counts as slower until then.
+  bool use_warmup;
+  /// The usable part of a target's slots is learned from its speed when it is
+  /// nearly full, beginning at usable_slots and never above what it announces.
+  bool learn_slots;
+  /// Requests are sent to another availability zone by the surplus of their own
+  /// zone, small ones first.
+  bool sum_zones;
   /// A target of another availability zone is used where the own zone's would
   /// take this many times as long, and zone_wait more.
   double zone_factor;
--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -136,11 +136,17 @@
   double cost_exponent = 1;
   /// Fraction of the difference to the new share that one update applies.
   double share_step = 0.5;
+  /// Least number of requests of a less urgent route that have to be served
+  /// whole for each request of a more urgent one that is given up; 0: none is.
+  double exchange_ratio = 1.5;
 };
 
 /// Admission state of one route.
 struct RouteShare {
   std::uint32_t priority = 0;
+  /// See RootRequest.
+  std::uint32_t route_priority = 0;
+  std::optional<std::uint32_t> account_priority;
   double share = 1;
   /// Rates of the root requests on this node.
   RateMeter offered;
@@ -169,6 +175,25 @@
   double window_ms = 0;
 };
 
+/// A root request that asks for admission.
+struct RootRequest {
+  /// Class of the request: its route and the priority of its account.
+  std::uint32_t route = 0;
+  /// See root_priority.h.
+  std::uint32_t priority = 0;
+  /// What `priority` was made of; no account priority if the policy names none.
+  std::uint32_t route_priority = 0;
+  std::optional<std::uint32_t> account_priority;
+  /// Share of such requests that is admitted; that of the class if not set.
+  std::optional<double> share;
+};
+
+/// Counts a root request and returns whether it is admitted. `draw` is a random
+/// number, uniform in [0, 1).
+bool TryAdmitRoot(const RootRequest& request,
+                  double draw,
+                  ChainAdmission& admission);
+
 /// Counts a root request and returns whether it is admitted. `draw` is a random
 /// number, uniform in [0, 1).
 bool TryAdmitRoot(std::uint32_t route,
--- a/libs/control/src/root_rates.cc
+++ b/libs/control/src/root_rates.cc
@@ -29,10 +29,23 @@
                   std::uint32_t priority,
                   double draw,
                   ChainAdmission& admission) {
-  RouteShare& state = admission.routes[route];
-  state.priority = priority;
+  RootRequest request;
+  request.route = route;
+  request.priority = priority;
+  request.route_priority = priority;
+  return TryAdmitRoot(request, draw, admission);
+}
+
+bool TryAdmitRoot(const RootRequest& request,
+                  double draw,
+                  ChainAdmission& admission) {
+  RouteShare& state = admission.routes[request.route];
+  state.priority = request.priority;
+  state.route_priority = request.route_priority;
+  state.account_priority = request.account_priority;
   ++state.offered.events;
-  if (state.share < 1 && draw >= state.share) {
+  const double share = request.share.value_or(state.share);
+  if (share < 1 && draw >= share) {
     return false;
   }
   ++state.admitted.events;
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -17,6 +17,7 @@
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
+#include "almondlink/relay/decision_exchange.h"
 #include "almondlink/relay/load_exchange.h"
 #include "almondlink/relay/peer_table.h"
 #include "almondlink/relay/quarantine_exchange.h"
@@ -52,7 +53,8 @@
   EntryCalls(const RelaySettings& settings,
              PeerTable& peers,
              ServedCalls& served,
-             const LoadExchange& loads);
+             const LoadExchange& loads,
+             const DecisionExchange& decisions);
   ~EntryCalls();
   EntryCalls(const EntryCalls&) = delete;
   EntryCalls& operator=(const EntryCalls&) = delete;
@@ -92,6 +94,8 @@
   /// Handles timeouts and retries waiting calls. Call every few tens of
   /// milliseconds.
   void Sweep(Millis now);
+  /// Adds what this node contributes to the sums of all nodes.
+  void AddDecisions(Millis now, control::DecisionSums& sums);
   /// Recomputes the admission shares. Call every 100 ms.
   void UpdateAdmission(Millis now);
 
@@ -222,11 +226,18 @@
   /// A random number from 0 to below 1.
   double Draw();
   Millis RetryAfter(const Call& call);
+  /// The admitted share of the call's client account, which is `share` where
+  /// accounts are not told apart.
+  double AccountShare(const Call& call, double share);
+  /// The admitted share of a caller that is new or that returns after a
+  /// refusal, from the share of its class or account.
+  double ReturnShare(const Call& call, double share);
 
   const RelaySettings& settings;
   PeerTable& peers;
   ServedCalls& served;
   const LoadExchange& loads;
+  const DecisionExchange& decisions;
   policy::RouteTablePointer table;
   control::ChainAdmission admission;
   QuotaExchange quotas;
--- a/libs/relay/include/almondlink/relay/load_exchange.h
+++ b/libs/relay/include/almondlink/relay/load_exchange.h
@@ -60,8 +60,6 @@
   std::size_t GroupCount() const { return this->aggregator.groups.size(); }
 
  private:
-  PeerPointer ChooseAggregator() const;
-  std::vector<PeerPointer> OtherAggregators() const;
   void Leave();
   void Report(Millis now, const StateFrame& own);
   void WatchTotals(Millis now);
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "almondlink/control/chain_admission.h"
+#include "almondlink/control/decision_sums.h"
 #include "almondlink/control/demand_meter.h"
 #include "almondlink/control/load_sums.h"
 #include "almondlink/control/quarantine.h"
@@ -59,6 +60,15 @@
   kLoadReport = 21,
   kLoadSums = 22,
   kLoadTotals = 23,
+  /// Part of a node for its aggregator, sum over the nodes of an aggregator,
+  /// and total over all, see almondlink/control/decision_sums.h.
+  kDecisionReport = 24,
+  kDecisionSums = 25,
+  kDecisionTotals = 26,
+  /// Demand for an account at one node, for the account's home, and the demand
+  /// over all nodes in return.
+  kAccountDemand = 27,
+  kAccountDemandTotal = 28,
 };
 
 /// Reported lifecycle state of a target instance. An instance never returns to
@@ -132,13 +142,14 @@
 /// Protocol versions by the feature that they introduced, and the version of
 /// this node: load frames; requests for a missing policy, which is no longer
 /// pushed to such nodes; loans of quota tokens; exchange of requests that crash
-/// targets; sums of loads.
+/// targets; sums of loads; sums for decisions under lasting load.
 constexpr std::uint32_t kVersionLoadFrames = 1;
 constexpr std::uint32_t kVersionPolicyPull = 2;
 constexpr std::uint32_t kVersionQuotaLending = 3;
 constexpr std::uint32_t kVersionQuarantine = 4;
 constexpr std::uint32_t kVersionLoadSums = 5;
-constexpr std::uint32_t kProtocolVersion = kVersionLoadSums;
+constexpr std::uint32_t kVersionDecisionSums = 6;
+constexpr std::uint32_t kProtocolVersion = kVersionDecisionSums;
 
 /// State of a node and of the target beside it, as it is reported to other
 /// nodes.
@@ -174,6 +185,8 @@
   /// Rate limit that the target names, see control/named_limit.h; nothing if it
   /// names none.
   std::optional<double> limit_per_s;
+  /// Speed of the target relative to the others of its service; 0 if unknown.
+  double speed = 0;
 };
 
 /// Identifies a report of an instance: its start time and the report's sequence
@@ -195,6 +208,8 @@
   std::vector<control::RootRate> roots;
   std::vector<ServiceRepeats> repeats;
   double error_rate = 0;
+  /// As in StateFrame; not part of a load report.
+  double speed = 0;
 };
 
 /// Load of a node for its aggregator.
@@ -264,6 +279,8 @@
   std::string_view body;
   /// Hash of the root request's id; 0 if the sender does not report it.
   std::uint64_t root_hash = 0;
+  /// Route of the call itself; 0 if the sender does not report it.
+  std::uint32_t route = 0;
 };
 
 /// Outcome of an attempt at the target's node.
@@ -330,6 +347,8 @@
   /// receiver will be within it; 0 if one is now.
   std::optional<double> limit_per_s;
   std::uint32_t limit_wait_ms = 0;
+  /// See StateFrame.
+  double speed = 0;
 };
 
 /// A further part of a long answer's body.
@@ -434,6 +453,10 @@
 void AppendSums(FrameType type,
                 const control::LoadSums& sums,
                 std::string& out);
+/// `type`: kDecisionReport, kDecisionSums or kDecisionTotals.
+void AppendDecisions(FrameType type,
+                     const control::DecisionSums& sums,
+                     std::string& out);
 void AppendPolicy(std::string_view policy, std::string& out);
 void AppendCancel(std::uint32_t id, std::string& out);
 void AppendPing(std::string& out);
@@ -461,6 +484,8 @@
 bool Decode(std::string_view payload, LoadReportFrame& frame);
 /// Decodes both kLoadSums and kLoadTotals frames.
 bool Decode(std::string_view payload, control::LoadSums& sums);
+/// Decodes the three kinds of frames that AppendDecisions() writes.
+bool Decode(std::string_view payload, control::DecisionSums& sums);
 bool DecodeCancel(std::string_view payload, std::uint32_t& id);
 bool DecodeStateConfirmed(std::string_view payload, ReportId& report);
 /// Decodes both kPolicyRequest and kPolicyVersion frames.
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -15,6 +15,7 @@
 #include "almondlink/control/instance_tracker.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
+#include "almondlink/relay/decision_exchange.h"
 #include "almondlink/relay/entry_calls.h"
 #include "almondlink/relay/load_exchange.h"
 #include "almondlink/relay/peer_table.h"
@@ -156,6 +157,7 @@
   PeerEvents MakePeerEvents();
   ServedEvents MakeServedEvents();
   StateFrame MakeState();
+  control::DecisionSums MakeDecisions();
   // Return false if the frame is of a known type and cannot be decoded.
   bool OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
   bool OnQuarantineFrame(const PeerLinkPointer& link, const RawFrame& frame);
@@ -181,6 +183,7 @@
   ServedCalls served;
   PeerTable peers;
   LoadExchange loads;
+  DecisionExchange decisions;
   EntryCalls entry;
   CallerListener callers;
   boost::asio::steady_timer tick_timer;
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -51,6 +51,24 @@
   /// Number of nodes up to which each sends its load to every other one. In a
   /// larger fleet, loads are summed by groups, see control/load_sums.h.
   std::uint32_t direct_nodes = 128;
+  /// Whether root requests that the repeat allowance cannot carry are refused.
+  bool carries_roots = true;
+  /// Whether queued calls are run by their latest useful start.
+  bool queues_by_due = true;
+  /// Whether queued calls are returned while other targets have free slots.
+  bool moves_waiting = true;
+  /// Whether refused callers that return are admitted before new ones.
+  bool admits_returning_first = true;
+  /// Whether client accounts share a short service by their granted rates.
+  bool has_fair_accounts = true;
+  /// Whether targets are chosen by the chance to end in time.
+  bool fits_targets = true;
+  /// Whether a target that is warming up counts as slower.
+  bool uses_warmup = true;
+  /// Whether the usable share of a target's slots is learned.
+  bool learns_slots = true;
+  /// Whether calls leave their zone by its surplus.
+  bool sums_zones = true;
 };
 
 /// Configuration of a relay.
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "almondlink/control/decision_sums.h"
 #include "almondlink/control/demand_meter.h"
 #include "almondlink/control/error_rate.h"
 #include "almondlink/control/instance_tracker.h"
@@ -157,6 +158,9 @@
   /// Current share of the target's answers that are its own failures, 0 to 1.
   double ErrorRate() const;
 
+  /// Adds what this target contributes to the sums of all nodes.
+  void AddDecisions(control::DecisionSums& sums) const;
+
   /// Handles timeouts and updates the demand meter; call it every few tens of
   /// milliseconds.
   void Sweep(Millis now);
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Retry-After if the route is not known, and the minimum.
-constexpr Millis kDefaultRetryAfter{300};
-constexpr Millis kMinRetryAfter{50};
 /// Minimum change of a share that is logged.
 constexpr double kLoggedShareStep = 0.1;
 
@@ -26,19 +23,27 @@
   this->NameClass(
       call->info.root_route, *call->route,
       call->account == nullptr ? std::nullopt : call->account->priority);
-  if (control::TryAdmitRoot(call->info.root_route, call->info.priority,
-                            this->Draw(), this->admission)) {
+  control::RootRequest request;
+  request.route = call->info.root_route;
+  request.priority = call->info.priority;
+  request.route_priority = call->route->priority;
+  if (call->account != nullptr) {
+    request.account_priority = call->account->priority;
+  }
+  const double class_share =
+      control::ShareOf(call->info.root_route, this->admission);
+  request.share =
+      this->ReturnShare(*call, this->AccountShare(*call, class_share));
+  if (control::TryAdmitRoot(request, this->Draw(), this->admission)) {
     return true;
   }
   const Millis wait = this->RetryAfter(*call);
   if (WouldLog(kEventRefusedAtEntry)) {
-    const double share =
-        control::ShareOf(call->info.root_route, this->admission);
     LogEvent(kEventRefusedAtEntry,
              {{"request", call->head.id},
               {"parent", this->ParentOf(*call)},
               {"route", call->route->name},
-              {"share", std::to_string(share)},
+              {"share", std::to_string(*request.share)},
               {"share_age_ms",
                std::to_string((call->arrived - this->admission.updated).count)},
               {"version", std::to_string(call->table->version)},
@@ -65,20 +70,6 @@
                      });
 }
 
-/// Time after which a refused caller should return: early enough that an answer
-/// then is still useful in full, and spread so that callers refused together do
-/// not return together. Longer waits did not help (docs/RESULTS.md): callers
-/// return in any case, and the answers they get are late.
-Millis EntryCalls::RetryAfter(const Call& call) {
-  if (call.route == nullptr) {
-    return kDefaultRetryAfter;
-  }
-  const double middle = this->settings.decisions.return_part *
-                        static_cast<double>(call.route->latency_target.count);
-  const Millis spread{static_cast<std::int64_t>(middle * (0.5 + this->Draw()))};
-  return std::max(kMinRetryAfter, spread);
-}
-
 /// Whether the load of the node is known from itself and not from the sums.
 bool EntryCalls::IsCountedDirectly(const Peer& peer) const {
   return peer.is_self ? !this->loads.IsSummed() : !peer.reported.is_load_summed;
--- a/libs/relay/src/entry/entry_attempts.cc
+++ b/libs/relay/src/entry/entry_attempts.cc
@@ -137,6 +137,7 @@
   frame.priority = call->info.priority;
   frame.root_route = call->info.root_route;
   frame.root_hash = call->info.root_hash;
+  frame.route = call->route->key.Value();
   frame.instance = peer->reported.instance;
   frame.caller_service = this->settings.service.Value();
   frame.request_id = call->head.id;
@@ -168,6 +169,7 @@
   peer->reported.waiting = frame.waiting;
   peer->reported.error_rate = frame.error_rate;
   peer->reported.limit_per_s = frame.limit_per_s;
+  peer->reported.speed = frame.speed;
   peer->limited_until = frame.limit_wait_ms == 0
                             ? Millis{0}
                             : BootTimeNow() + Millis{frame.limit_wait_ms};
--- a/libs/relay/src/entry/entry_calls.cc
+++ b/libs/relay/src/entry/entry_calls.cc
@@ -22,11 +22,13 @@
 EntryCalls::EntryCalls(const RelaySettings& settings_in,
                        PeerTable& peers_in,
                        ServedCalls& served_in,
-                       const LoadExchange& loads_in)
+                       const LoadExchange& loads_in,
+                       const DecisionExchange& decisions_in)
     : settings(settings_in),
       peers(peers_in),
       served(served_in),
       loads(loads_in),
+      decisions(decisions_in),
       quotas(settings_in,
              peers_in,
              [this](policy::AccountKey account) {
--- a/libs/relay/src/exchange/frame_codec.h
+++ b/libs/relay/src/exchange/frame_codec.h
@@ -190,6 +190,11 @@
   return in.IsAtEnd() ? 0 : std::min(1.0, in.TakeVarintFraction());
 }
 
+/// Speed of a target; older nodes do not send it.
+inline double TakeSpeed(Reader& in) {
+  return in.IsAtEnd() ? 0 : in.TakeVarintFraction();
+}
+
 /// Fields of a load, which are part of several frames.
 void PutLoad(const LoadFrame& load, Writer& out);
 void TakeLoad(Reader& in, LoadFrame& load);
--- a/libs/relay/src/exchange/load_exchange.cc
+++ b/libs/relay/src/exchange/load_exchange.cc
@@ -1,10 +1,10 @@
 #include "almondlink/relay/load_exchange.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "almondlink/base/event_log.h"
+#include "exchange/aggregators.h"
 
 namespace almondlink::relay {
 
@@ -15,13 +15,6 @@
 /// A node that was heard from this recently is not queried.
 constexpr Millis kRecentlyHeard{500};
 
-/// Whether the node can be an aggregator.
-bool CanAggregate(const Peer& peer) {
-  return !peer.reported.is_stopping && peer.IsReachable() &&
-         (peer.is_self ||
-          (!peer.is_suspect && peer.protocol_version >= kVersionLoadSums));
-}
-
 LoadReportFrame MakeReport(const StateFrame& own, bool is_counted) {
   LoadReportFrame report;
   report.is_counted = is_counted;
@@ -43,28 +36,6 @@
   }
 }
 
-/// Number of nodes of a zone, and those that can be aggregators.
-struct ZoneNodes {
-  std::uint32_t nodes = 0;
-  std::vector<const PeerPointer*> candidates;
-};
-
-/// The candidate that is the aggregator of a group; null if there is none.
-PeerPointer BestOf(const std::vector<const PeerPointer*>& candidates,
-                   std::uint32_t group) {
-  PeerPointer best;
-  std::uint64_t highest = 0;
-  for (const PeerPointer* candidate : candidates) {
-    const std::uint64_t rank =
-        control::AggregatorRank((*candidate)->node.name, group);
-    if (best == nullptr || rank > highest) {
-      highest = rank;
-      best = *candidate;
-    }
-  }
-  return best;
-}
-
 }  // namespace
 
 LoadExchange::LoadExchange(const RelaySettings& settings_in,
@@ -81,54 +52,16 @@
                      });
 }
 
-/// The aggregator of this node's group; null if the zone has no candidate.
-PeerPointer LoadExchange::ChooseAggregator() const {
-  ZoneNodes own;
-  for (const PeerPointer& peer : this->peers.All()) {
-    if (peer->reported.zone != this->settings.zone.Value()) {
-      continue;
-    }
-    ++own.nodes;
-    if (CanAggregate(*peer)) {
-      own.candidates.push_back(&peer);
-    }
-  }
-  const std::uint32_t group =
-      control::GroupOf(this->peers.SelfPeer()->node.name,
-                       control::GroupCount(std::max(1U, own.nodes)));
-  return BestOf(own.candidates, group);
-}
-
-/// The aggregators of all groups, as far as this node can tell, without itself.
-std::vector<PeerPointer> LoadExchange::OtherAggregators() const {
-  std::map<std::string_view, ZoneNodes> zones;
-  for (const PeerPointer& peer : this->peers.All()) {
-    ZoneNodes& zone = zones[peer->reported.zone];
-    ++zone.nodes;
-    if (CanAggregate(*peer)) {
-      zone.candidates.push_back(&peer);
-    }
-  }
-  std::set<PeerPointer> found;
-  for (const auto& [name, zone] : zones) {
-    const std::uint32_t groups = control::GroupCount(zone.nodes);
-    for (std::uint32_t group = 0; group < groups; ++group) {
-      const PeerPointer best = BestOf(zone.candidates, group);
-      if (best != nullptr && !best->is_self) {
-        found.insert(best);
-      }
-    }
-  }
-  return {found.begin(), found.end()};
-}
-
 bool LoadExchange::Tick(Millis now, const StateFrame& own) {
   const bool was_summed = this->is_summed;
   this->is_summed =
       control::UsesSums(static_cast<std::uint32_t>(this->peers.All().size()),
                         this->settings.decisions.direct_nodes, this->is_summed);
   const PeerPointer aggregator_node =
-      this->NeedsTotals() ? this->ChooseAggregator() : nullptr;
+      this->NeedsTotals()
+          ? AggregatorOf(this->peers, this->settings.zone.Value(),
+                         kVersionLoadSums)
+          : nullptr;
   if (aggregator_node != this->reports_to) {
     this->Leave();
     this->reports_to = aggregator_node;
@@ -254,7 +187,7 @@
   sums.silent_nodes = this->SilentNodes();
   std::string frame;
   AppendSums(FrameType::kLoadSums, sums, frame);
-  this->others = this->OtherAggregators();
+  this->others = OtherAggregators(this->peers, kVersionLoadSums);
   for (const PeerPointer& other : this->others) {
     if (this->aggregator.groups.count(other->node.name) == 0) {
       // It may have been lost without notice, and another have taken over.
--- a/libs/relay/src/exchange/peer_frames.cc
+++ b/libs/relay/src/exchange/peer_frames.cc
@@ -63,6 +63,7 @@
   writer.PutText(frame.fields);
   writer.PutText(frame.body);
   writer.Put(frame.root_hash);
+  writer.Put(frame.route);
 }
 
 bool Decode(std::string_view payload, CallFrame& frame) {
@@ -89,6 +90,10 @@
   if (!in.IsAtEnd()) {
     in.Take(frame.root_hash);
   }
+  frame.route = 0;
+  if (!in.IsAtEnd()) {
+    in.Take(frame.route);
+  }
   return in.IsGood();
 }
 
@@ -117,6 +122,7 @@
   writer.PutVarintFraction(frame.target_calls_per_run);
   PutOptionalRate(frame.limit_per_s, writer);
   writer.PutVarint(frame.limit_wait_ms);
+  writer.PutVarintFraction(frame.speed);
 }
 
 bool Decode(std::string_view payload, AnswerFrame& frame) {
@@ -145,6 +151,7 @@
   frame.target_calls_per_run = in.IsAtEnd() ? 0 : in.TakeVarintFraction();
   frame.limit_per_s = TakeOptionalRate(in);
   frame.limit_wait_ms = in.IsAtEnd() ? 0 : in.TakeVarint32();
+  frame.speed = TakeSpeed(in);
   return in.IsGood();
 }
 
--- a/libs/relay/src/exchange/peer_state_frames.cc
+++ b/libs/relay/src/exchange/peer_state_frames.cc
@@ -169,6 +169,7 @@
   load.roots = state.roots;
   load.repeats = state.repeats;
   load.error_rate = state.error_rate;
+  load.speed = state.speed;
   return load;
 }
 
@@ -190,6 +191,7 @@
   state.roots = std::move(load.roots);
   state.repeats = std::move(load.repeats);
   state.error_rate = load.error_rate;
+  state.speed = load.speed;
 }
 
 StateFrame WithoutSummed(StateFrame state) {
@@ -238,11 +240,13 @@
 void Append(const LoadFrame& frame, std::string& out) {
   Writer writer(FrameType::kLoad, out);
   PutLoad(frame, writer);
+  writer.PutVarintFraction(frame.speed);
 }
 
 bool Decode(std::string_view payload, LoadFrame& frame) {
   Reader in(payload);
   TakeLoad(in, frame);
+  frame.speed = TakeSpeed(in);
   return in.IsGood();
 }
 
@@ -323,6 +327,7 @@
   writer.PutVarintFraction(frame.error_rate);
   writer.PutByte(frame.is_load_summed ? 1 : 0);
   PutOptionalRate(frame.limit_per_s, writer);
+  writer.PutVarintFraction(frame.speed);
 }
 
 bool Decode(std::string_view payload, StateFrame& frame) {
@@ -362,6 +367,7 @@
   frame.error_rate = TakeErrorRate(in);
   frame.is_load_summed = !in.IsAtEnd() && in.TakeByte() != 0;
   frame.limit_per_s = TakeOptionalRate(in);
+  frame.speed = TakeSpeed(in);
   return in.IsGood();
 }
 
--- a/libs/relay/src/frame_dispatch.cc
+++ b/libs/relay/src/frame_dispatch.cc
@@ -52,6 +52,10 @@
       return this->loads.OnReport(link, frame.payload);
     case FrameType::kLoadSums:
       return this->loads.OnSums(link, frame.payload);
+    case FrameType::kDecisionReport:
+      return this->decisions.OnReport(link, frame.payload);
+    case FrameType::kDecisionSums:
+      return this->decisions.OnSums(link, frame.payload);
     case FrameType::kQuarantine:
     case FrameType::kTrialRequest:
     case FrameType::kTrialEnded:
@@ -111,6 +115,8 @@
     }
     case FrameType::kLoadTotals:
       return this->loads.OnTotals(peer, frame.payload);
+    case FrameType::kDecisionTotals:
+      return this->decisions.OnTotals(peer, frame.payload);
     case FrameType::kTrialResponse: {
       TrialResponseFrame answer;
       if (!Decode(frame.payload, answer)) {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -55,7 +55,12 @@
             static_cast<std::uint64_t>(WallNow().count),
             this->MakePeerEvents()),
       loads(this->settings, this->peers),
-      entry(this->settings, this->peers, this->served, this->loads),
+      decisions(this->settings, this->peers),
+      entry(this->settings,
+            this->peers,
+            this->served,
+            this->loads,
+            this->decisions),
       callers(loop_in,
               this->settings.names,
               [this](RequestHead head,
@@ -86,10 +91,12 @@
   events.on_accepted_closed = [this](LinkId link) {
     this->min_clock_offsets.erase(link);
     this->loads.OnAcceptedClosed(link);
+    this->decisions.OnAcceptedClosed(link);
     this->served.OnLinkClosed(link);
   };
   events.on_link_lost = [this](const PeerPointer& peer) {
     this->loads.OnLinkLost(peer);
+    this->decisions.OnLinkLost(peer);
     this->entry.OnLinkLost(peer);
   };
   events.on_suspect = [this](const PeerPointer& peer) {
@@ -180,6 +187,14 @@
   return state;
 }
 
+control::DecisionSums RelayNode::MakeDecisions() {
+  control::DecisionSums own;
+  own.nodes = 1;
+  this->served.AddDecisions(own);
+  this->entry.AddDecisions(BootTimeNow(), own);
+  return own;
+}
+
 void RelayNode::SetHasSource(bool has_source_in) {
   if (this->has_source != has_source_in) {
     this->has_source = has_source_in;
@@ -326,6 +341,7 @@
     if (this->loads.Tick(now, this->MakeState())) {
       this->peers.AnnounceState();
     }
+    this->decisions.Tick(now, [this]() { return this->MakeDecisions(); });
     this->entry.UpdateAdmission(now);
     this->entry.Quotas().Tick(now);
     this->entry.Quarantine().Tick(now);
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -101,10 +101,10 @@
   other.slots = 42;
   REQUIRE_FALSE(EqualExceptLoad(state, other));
   const std::string_view payload = Only(bytes).payload;
-  // Older nodes' loads end before the error rate, before the call chains or
-  // before the list of repeats; each takes one byte here.
+  // Older nodes' loads end before the speed, before the error rate, before the
+  // call chains or before the list of repeats; each takes one byte here.
   const std::size_t older = payload.size() - 1;
-  const std::size_t oldest = payload.size() - 3;
+  const std::size_t oldest = payload.size() - 4;
   for (std::size_t size = 0; size < payload.size(); ++size) {
     const bool is_whole = size >= oldest && size <= older;
     REQUIRE(Decode(payload.substr(0, size), read) == is_whole);
@@ -172,9 +172,9 @@
   REQUIRE_FALSE(EqualExceptLoad(state, read));
   std::string_view older = Only(bytes).payload;
   // Cuts off the start time, the source flag, and the repeats, call chains,
-  // error rate, whether the load is summed and whether the target names a
-  // limit, which take one byte each here.
-  older.remove_suffix(sizeof(state.started_at) + 6);
+  // error rate, whether the load is summed, whether the target names a limit
+  // and the speed, which take one byte each here.
+  older.remove_suffix(sizeof(state.started_at) + 7);
   REQUIRE(Decode(older, read));
   REQUIRE(read.started_at == 0);
   REQUIRE_FALSE(read.has_source);
@@ -283,11 +283,14 @@
   std::string bytes;
   Append(call, bytes);
   const std::string_view payload = Only(bytes).payload;
-  // Calls of older nodes end before the hash of the root request's id.
-  const std::size_t older = payload.size() - sizeof(call.root_hash);
+  // Calls of older nodes end before the route, or before the hash of the root
+  // request's id.
+  const std::size_t older = payload.size() - sizeof(call.route);
+  const std::size_t oldest = older - sizeof(call.root_hash);
   for (std::size_t size = 0; size < payload.size(); ++size) {
     CallFrame read;
-    REQUIRE(Decode(payload.substr(0, size), read) == (size == older));
+    REQUIRE(Decode(payload.substr(0, size), read) ==
+            (size == older || size == oldest));
     REQUIRE(read.root_hash == 0);
   }
 }
@@ -310,7 +313,7 @@
   Append(state, bytes);
   std::string payload(Only(bytes).payload);
   // Overwrites the count of the last list, which precedes the start time.
-  payload[payload.size() - sizeof(state.started_at) - 1 - 6] = '\x7f';
+  payload[payload.size() - sizeof(state.started_at) - 1 - 7] = '\x7f';
   StateFrame read;
   REQUIRE_FALSE(Decode(payload, read));
 }
