Queue: calls are run by their latest useful start

Cause: queued calls were ordered by the priority of their root request, so the calls of admitted orders waited behind every call of a view for as long as a target was full, and timed out after their request had used capacity. Change: the queue is ordered by the latest useful start in slices of 50 ms, then priority, depth and arrival. A call that has waited leaves it as soon as its remaining time is below the likely shortest run of such calls, or the wait that its sender allows is over. A queue over its maximum length drops the least urgent call with the latest start.

--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +17,7 @@
 #include "almondlink/control/error_rate.h"
 #include "almondlink/control/instance_tracker.h"
 #include "almondlink/control/named_limit.h"
+#include "almondlink/control/queue_order.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/relay/target_pool.h"
 
@@ -25,9 +25,10 @@
 /// those that cannot be served.
 ///
 /// All traffic of the target passes through this node, so its concurrency limit
-/// is exact. Calls beyond the limit are queued in one order: by the priority of
-/// the root request, then deeper calls first (more work was already spent on
-/// them), then by arrival.
+/// is exact. Calls beyond the limit are queued in one order: by their latest
+/// useful start, see almondlink/control/queue_order.h, or, if that is switched
+/// off, by the priority of the root request. Among equal ones, deeper calls run
+/// first (more work was already spent on them), then earlier ones.
 namespace almondlink::relay {
 
 /// Id of the link that a call came by, to which its answer goes; kLocalLink for
@@ -97,6 +98,18 @@
   std::uint64_t target_crashes = 0;
 };
 
+/// Counters of the queue; they never decrease.
+struct QueueCounters {
+  /// Calls that had to wait for a slot.
+  std::uint64_t queued = 0;
+  /// Calls that left the queue unrun because their time was over, and the same
+  /// by class of the root request.
+  std::uint64_t left = 0;
+  std::map<std::uint32_t, std::uint64_t> left_by_class;
+  /// Calls that were run while a more urgent one was queued.
+  std::uint64_t overtook = 0;
+};
+
 /// Not thread safe: belongs to one loop.
 class ServedCalls {
  public:
@@ -115,6 +128,10 @@
   /// Sets the share of the target's slots that is used.
   void SetUsableShare(double share) { this->tracker.usable_share = share; }
 
+  /// Sets whether calls that arrive from now on are queued by their latest
+  /// useful start, or by priority alone.
+  void SetQueueOrder(bool is_by_due_in) { this->is_by_due = is_by_due_in; }
+
   /// Accepts a call; exactly one answer follows unless it is cancelled.
   /// `transit_delay`: time that the frame was delayed on the link, which is
   /// subtracted from the remaining time.
@@ -173,6 +190,7 @@
   const control::NamedLimit& Limit() const { return this->limit; }
   const control::DemandMeter& Meter() const { return this->meter; }
   const ServedCounters& Counters() const { return this->counters; }
+  const QueueCounters& QueueCounts() const { return this->queue_counters; }
   std::uint32_t Running() const { return this->running; }
   std::uint32_t Waiting() const;
   std::uint64_t ConnectCount() const { return this->pool.ConnectCount(); }
@@ -181,9 +199,16 @@
   struct Call;
   using CallKey = std::pair<LinkId, std::uint32_t>;
   using CallPointer = std::shared_ptr<Call>;
-  /// Queue order: priority, then depth (deeper first), then arrival.
-  using Order = std::tuple<std::uint8_t, int, std::uint64_t>;
 
+  void Enqueue(Millis now, const CallPointer& call);
+  void Dequeue(const CallPointer& call);
+  void CountWait(const CallPointer& call);
+  void CountOvertaking(const Call& call);
+  void RejectOverflow();
+  void RejectExpired(Millis now);
+  void RejectLate(Millis now, const CallPointer& call);
+  bool CanStillStart(Millis now, const Call& call) const;
+  LatencyMs LikelyMinRun(Millis now, const Call& call) const;
   void FillSlots(Millis now);
   void Dispatch(Millis now, const CallPointer& call);
   void RejectMovable();
@@ -241,7 +266,13 @@
   bool has_said_leaving = false;
   control::ErrorRate errors;
   std::map<CallKey, CallPointer> calls;
-  std::map<Order, CallPointer> queue;
+  /// The queued calls, in the order in which they run, and in the order in
+  /// which they are kept if there are too many.
+  std::map<control::QueueKey, CallPointer, control::RunsBefore> queue;
+  std::map<control::QueueKey, CallPointer, control::KeptBefore> kept;
+  bool is_by_due = false;
+  control::RunEstimates run_estimates;
+  QueueCounters queue_counters;
   std::unordered_map<std::string, CallPointer> runs;
   /// Calls whose connection closed without an answer, while it is checked
   /// whether the target's process has crashed.
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -72,6 +72,7 @@
       tick_timer(loop_in) {
   this->served.SetTargetAddress(this->settings.target_address);
   this->served.SetUsableShare(this->settings.decisions.usable_slots);
+  this->served.SetQueueOrder(this->settings.decisions.queues_by_due);
   this->entry.Quarantine().SetConfirmationHandlers(this->hooks.on_confirmed,
                                                    this->hooks.on_cleared);
 }
@@ -315,6 +316,7 @@
   this->settings.revoke_after = changed.revoke_after;
   this->settings.decisions = changed.decisions;
   this->served.SetUsableShare(changed.decisions.usable_slots);
+  this->served.SetQueueOrder(changed.decisions.queues_by_due);
   this->served.SetTargetAddress(changed.target_address);
 }
 
--- a/libs/relay/src/serving/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -7,18 +7,26 @@
 
 namespace almondlink::relay {
 
+/// A call with less remaining time than this would be cut off at the target at
+/// once.
+constexpr Millis kMinRemaining{5};
+
 /// A call for the target beside this node, from its arrival to its outcome.
-/// ServedCalls is implemented in served_calls.cc (queueing, dispatch and
-/// outcomes), served_notices.cc (what the target states about itself in its
-/// answers) and served_crashes.cc (crashes of the target's process).
+/// ServedCalls is implemented in served_calls.cc (dispatch and outcomes),
+/// served_queue.cc (the queue), served_notices.cc (what the target states about
+/// itself in its answers) and served_crashes.cc (crashes of the target's
+/// process).
 struct ServedCalls::Call {
   LinkId link = 0;
   std::uint32_t id = 0;
-  Order order;
+  control::QueueKey key;
+  control::CallKind kind;
   RunInfo info;
   bool is_repeatable = false;
   /// See CallFrame.
   bool may_move = false;
+  /// It found no free slot when it arrived.
+  bool has_waited = false;
   bool is_running = false;
   bool is_answering = false;
   /// The caller no longer waits for the answer.
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -1,7 +1,6 @@
 #include "almondlink/relay/served_calls.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -15,13 +14,6 @@
 /// Entry nodes learn of the drain within milliseconds; the rest allows for
 /// timers and a slow host.
 constexpr double kDrainShare = 0.6;
-/// Maximum number of queued calls, in multiples of the slots. A longer queue
-/// could not be served within a deadline of twenty times the run time.
-constexpr std::uint32_t kQueuePerSlot = 8;
-constexpr std::uint32_t kMinQueueLimit = 64;
-/// A call with less remaining time than this would be cut off at the target at
-/// once.
-constexpr Millis kMinRemaining{5};
 /// A sweep that is this late means that the host was suspended or the process
 /// got no CPU time.
 constexpr Millis kSuspensionGap{500};
@@ -116,21 +108,17 @@
   call->request_head.append(" HTTP/1.1\r\n").append(frame.fields);
   call->caller_service.assign(frame.caller_service);
   call->body.assign(frame.body);
-  call->order =
-      Order{frame.priority, -static_cast<int>(frame.depth), ++this->arrivals};
+  call->kind = {frame.route, frame.root_route};
   this->calls.emplace(CallKey{link, frame.id}, call);
-  this->queue.emplace(call->order, call);
+  this->Enqueue(now, call);
   this->FillSlots(now);
-  const std::uint32_t max_queue = std::max(
-      kMinQueueLimit, kQueuePerSlot * control::UsableSlots(this->tracker));
-  if (this->queue.size() > max_queue) {
-    const CallPointer last = std::prev(this->queue.end())->second;
-    this->Reject(last, CallReason::kFull);
-  }
+  this->CountWait(call);
+  this->RejectOverflow();
   this->RejectHopeless(now);
 }
 
 void ServedCalls::FillSlots(Millis now) {
+  this->RejectExpired(now);
   const std::uint32_t slots = control::UsableSlots(this->tracker);
   while (!this->queue.empty() && this->running < slots) {
     const CallPointer call = this->queue.begin()->second;
@@ -142,14 +130,15 @@
       this->Reject(call, CallReason::kNoInstance);
       continue;
     }
-    if (call->info.deadline <= now + kMinRemaining) {
-      this->Reject(call, CallReason::kDeadline);
+    if (!this->CanStillStart(now, *call)) {
+      this->RejectLate(now, call);
       continue;
     }
     if (!control::MaySend(now, this->limit)) {
       return;
     }
-    this->queue.erase(this->queue.begin());
+    this->Dequeue(call);
+    this->CountOvertaking(*call);
     this->Dispatch(now, call);
   }
 }
@@ -296,7 +285,7 @@
 
 /// Removes a running or queued call.
 void ServedCalls::EndRun(const CallPointer& call) {
-  this->queue.erase(call->order);
+  this->Dequeue(call);
   this->calls.erase(CallKey{call->link, call->id});
   if (call->is_running) {
     call->is_running = false;
@@ -389,7 +378,13 @@
 /// Records the duration of a call, unless the host was suspended while it ran.
 void ServedCalls::RecordWorkTime(const Call& call, LatencyMs work) {
   if (!call.spans_suspension) {
-    control::RecordWork(call.info.root_route, BootTimeNow(), work, this->meter);
+    const Millis now = BootTimeNow();
+    control::RecordWork(call.info.root_route, now, work, this->meter);
+    if (now > call.info.deadline) {
+      control::RecordCutRun(now, call.kind, work, this->run_estimates);
+    } else {
+      control::RecordRun(now, call.kind, work, this->run_estimates);
+    }
   }
 }
 
@@ -429,17 +424,6 @@
   return found->second->info;
 }
 
-CallReason ServedCalls::ReasonOfLateCall(Millis now, const Call& call) const {
-  if (this->IsPastDrain(now)) {
-    return CallReason::kDraining;
-  }
-  if (call.info.deadline <= now + kMinRemaining) {
-    return CallReason::kDeadline;
-  }
-  return this->limit.per_s.has_value() ? CallReason::kRateLimited
-                                       : CallReason::kFull;
-}
-
 void ServedCalls::Sweep(Millis now) {
   if (now - this->last_sweep > kSuspensionGap) {
     for (const auto& [id, call] : this->runs) {
@@ -448,13 +432,14 @@
   }
   this->last_sweep = now;
   std::vector<CallPointer> late;
-  for (const auto& [order, call] : this->queue) {
-    if (now >= call->wait_until || this->IsPastDrain(now)) {
+  for (const auto& [key, call] : this->queue) {
+    if (now >= call->wait_until || !this->CanStillStart(now, *call) ||
+        this->IsPastDrain(now)) {
       late.push_back(call);
     }
   }
   for (const CallPointer& call : late) {
-    this->Reject(call, this->ReasonOfLateCall(now, *call));
+    this->RejectLate(now, call);
   }
   late.clear();
   for (const auto& [id, call] : this->runs) {
@@ -480,6 +465,7 @@
     control::UpdateRate(span, control::kCallRatioTimeConstantMs,
                         this->started_runs);
     control::UpdateDemand(now, this->meter);
+    control::ExpireRuns(now, this->run_estimates);
   }
 }
 
--- a/libs/relay/src/serving/served_notices.cc
+++ b/libs/relay/src/serving/served_notices.cc
@@ -118,7 +118,7 @@
     return;
   }
   std::vector<CallPointer> movable;
-  for (const auto& [order, call] : this->queue) {
+  for (const auto& [key, call] : this->queue) {
     if (call->may_move) {
       movable.push_back(call);
     }
@@ -126,7 +126,7 @@
   for (const CallPointer& call : movable) {
     // A sender on this node may have sent or withdrawn it meanwhile: it reacts
     // to the return of another call at once.
-    if (this->queue.count(call->order) == 0) {
+    if (this->queue.count(call->key) == 0) {
       continue;
     }
     control::RemoveRefusedDemand(call->info.root_route, this->meter);
@@ -134,8 +134,9 @@
   }
 }
 
-/// Rejects the last calls of the queue, as far as the limit lets none of them
-/// be sent in time.
+/// Rejects calls while the limit does not let the last one of the queue be sent
+/// in time: the least useful ones, which are the last ones if the queue is
+/// ordered by priority.
 void ServedCalls::RejectHopeless(Millis now) {
   while (this->limit.per_s.has_value() && !this->queue.empty()) {
     const CallPointer last = std::prev(this->queue.end())->second;
@@ -143,7 +144,8 @@
     if (now + expected <= last->wait_until) {
       return;
     }
-    this->Reject(last, CallReason::kRateLimited);
+    const CallPointer least_useful = std::prev(this->kept.end())->second;
+    this->Reject(least_useful, CallReason::kRateLimited);
   }
 }
 
