Returning callers: refused callers are invited and admitted first

Cause: a caller that returns after a refusal is drawn again with the share of new callers, so where three quarters of the callers can be served, a quarter is refused twice. Refused callers are told to return at times when no capacity is expected for them.

Change: returning_callers.h recognizes a return by what is left of the caller's deadline, divides the share of a class or account among returning and new requests, and plans Retry-After. The comment of ReturnRates says who counts as invited.

--- a/libs/control/include/almondlink/control/decision_sums.h
+++ b/libs/control/include/almondlink/control/decision_sums.h
@@ -27,8 +27,9 @@
   double refused_per_s = 0;
 };
 
-/// Refused callers of one class that were told to return within their deadline,
-/// and requests that did return, per second.
+/// Refused callers of one class that were invited to return while it is short
+/// of capacity (see returning_callers.h), and requests that did return, per
+/// second.
 struct ReturnRates {
   double invited_per_s = 0;
   double returned_per_s = 0;
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -14,6 +14,7 @@
 
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/returning_callers.h"
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
@@ -231,7 +232,25 @@
   double AccountShare(const Call& call, double share);
   /// The admitted share of a caller that is new or that returns after a
   /// refusal, from the share of its class or account.
-  double ReturnShare(const Call& call, double share);
+  double ReturnShare(Call& call, double share);
+  struct ReturningState {
+    control::ReturningClass callers;
+    /// Rate of the class over all nodes; 0 if unknown.
+    double offered_per_s = 0;
+    std::optional<Millis> logged_at;
+  };
+  Millis UsualRetryAfter(const policy::Route& route);
+  void LogReturnPlan(Millis now,
+                     const Call& call,
+                     Millis wait,
+                     ReturningState& state);
+  control::ReturnLoad ReturnLoadOf(Millis now,
+                                   std::uint32_t root_route,
+                                   const ReturningState& state) const;
+  void UpdateReturns(Millis now,
+                     const std::map<std::uint32_t, control::RootTotals>& roots);
+  void AddReturns(control::DecisionSums& sums) const;
+  void CountReturnServed(const Call& call);
 
   const RelaySettings& settings;
   PeerTable& peers;
@@ -255,6 +274,9 @@
   bool has_restored_counts = false;
   std::map<std::string, std::uint64_t> repeats_denied;
   std::map<std::string, std::uint64_t> refusals_by_service;
+  /// Callers that return, by class of root requests.
+  std::map<std::uint32_t, ReturningState> returning;
+  Millis returns_updated;
   /// State of the weighted selection, by route.
   std::unordered_map<std::uint32_t, control::WeightedRoundRobin> part_turns;
   std::unordered_map<std::uint32_t, CallPointer> calls;
--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -163,6 +163,9 @@
   }
   const LatencyMs took{PreciseNow().count - call.started.count};
   this->counts.CountRequest(call.route, call.is_root, outcome, reason, took);
+  if (outcome == RequestOutcome::kServed) {
+    this->CountReturnServed(call);
+  }
   if (call.account != nullptr) {
     this->counts.CountAccountRequest(call.account->name, outcome);
   }
--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -47,6 +47,10 @@
   /// call.
   bool has_local_parent = false;
   bool is_refused_at_entry = false;
+  /// Whether the caller returns after a refusal, and the admitted share of its
+  /// class or account.
+  bool is_returning = false;
+  double admission_share = 1;
   RunInfo info;
   Millis arrived;
   /// `deadline`: until when an answer is useful to the caller. `expires_at`:
