Placement: the chance that a call ends late is part of a target's cost

Cause: two targets that are both acceptable by time were compared by occupancy alone, so a slow target got calls whose long runs exceed their timeout there.

Change: entry nodes keep a histogram of run times by called route, scaled to speed 1, with runs that were cut off (run_times.h). The cost of a target has the chance to be late times the timeout; calls at risk are compared at all targets of the zone. The speed is derived from reported mean times for now. With fit_targets off, no chance or speed is set and the choice is as before.

--- a/libs/control/include/almondlink/control/placement.h
+++ b/libs/control/include/almondlink/control/placement.h
@@ -22,6 +22,13 @@
 /// as an outlier (see target_health.h), counts as slower, because its failures
 /// cause retries or fail requests that may not be retried. In each availability
 /// zone two targets are drawn at random and the cheaper one is taken.
+///
+/// Where the distribution of the request's run times is known (see
+/// run_times.h), the cost also has the chance that the request does not end in
+/// the time that it has left. Two drawn targets are not enough for a request
+/// that is at risk at any target: a third of such requests would still run at
+/// the slower half of four targets. They are compared at all targets of the
+/// zone.
 namespace almondlink::control {
 
 /// State of one target as known by an entry node.
@@ -40,6 +47,11 @@
   std::uint32_t sent_since = 0;
   /// Mean time of a request at the target in milliseconds; 0 if unknown.
   double work_ms = 0;
+  /// Speed relative to the mean target of the service; 0 if unknown.
+  double speed = 0;
+  /// Chance that this request does not end there in the time that it has left,
+  /// see run_times.h; 0 if unknown.
+  double late_chance = 0;
   TargetHealth health;
   /// Fraction of the target's answers that are failures of its own, see
   /// error_rate.h.
@@ -70,6 +82,19 @@
   /// because a failure costs the whole request. Ejecting such targets gives
   /// callers the same result, but leaves no target if several have errors.
   double error_penalty_ms = 0;
+  /// Mean run time of such a request at a target of speed 1. It replaces the
+  /// mean time over all requests of a target whose speed is known; 0 if
+  /// unknown.
+  double mean_run_ms = 0;
+  /// Whether the request stays in its zone while a target with a free slot is
+  /// there, whatever the times: which requests leave the zone has been decided
+  /// for all of them (see zone_surplus.h). A request that is at risk in the
+  /// zone may still leave it.
+  bool keeps_zone = false;
+  /// Milliseconds that are added to the expected time, times the chance that
+  /// the request ends late there: the timeout, for which its caller waits in
+  /// vain.
+  double late_penalty_ms = 0;
 };
 
 /// Random numbers for one choice, each uniform in [0, 1).
@@ -85,6 +110,10 @@
 /// service, used while that of the target is unknown.
 double ExpectedTimeMs(const PlacementTarget& target, double typical_ms);
 
+/// Chances to end late that differ by no more than this count as equal. It is
+/// the chance from which on a request is compared at all targets of a zone.
+constexpr double kMaxChanceGap = 0.005;
+
 /// Returns the index in `targets` of the target to send to, or nothing if none
 /// is usable. Pure.
 std::optional<std::size_t> ChoosePlacementTarget(
--- a/libs/control/src/placement.cc
+++ b/libs/control/src/placement.cc
@@ -23,6 +23,10 @@
 /// Additional wait per queued request and slot, in multiples of the work time.
 constexpr double kQueuedWaitFactor = 4;
 constexpr double kUnknownWorkMs = 10;
+/// Costs that differ by less than this part count as equal when all targets of
+/// a zone are compared. Otherwise all nodes would choose the same target until
+/// its next report.
+constexpr double kEqualCostPart = 0.02;
 
 /// For each target, the part by which its error rate exceeds that of the
 /// others.
@@ -91,34 +95,117 @@
          std::max(1U, target.slots);
 }
 
-/// Expected time of a request at one target, including the penalties for
-/// failures.
-double CostOf(const PlacementRules& rules,
-              const PlacementTarget& target,
-              double excess_errors,
-              double typical) {
+/// Cost of one target for a request.
+struct TargetCost {
+  /// Expected time, including the penalties for failures.
+  double time_ms = 0;
+  /// The same with the penalty for a late end.
+  double total_ms = 0;
+};
+
+TargetCost CostOf(const PlacementRules& rules,
+                  const PlacementTarget& target,
+                  double excess_errors,
+                  double typical) {
   const double slower = 1 + rules.failing_weight * target.health.failure_rate;
-  const double errors = rules.error_penalty_ms * excess_errors;
-  if (rules.is_time_based) {
-    return slower * ExpectedTimeMs(target, typical) + errors;
+  PlacementTarget timed = target;
+  if (!rules.is_time_based) {
+    timed.work_ms = typical;
+  } else if (rules.mean_run_ms > 0 && target.speed > 0) {
+    timed.work_ms = rules.mean_run_ms / target.speed;
   }
-  PlacementTarget average = target;
-  average.work_ms = typical;
-  return slower * ExpectedTimeMs(average, typical) + errors;
+  TargetCost cost;
+  cost.time_ms = slower * ExpectedTimeMs(timed, typical) +
+                 rules.error_penalty_ms * excess_errors;
+  cost.total_ms = cost.time_ms + rules.late_penalty_ms * target.late_chance;
+  return cost;
 }
 
-/// Draws two targets and returns the cheaper one, or the one with lower
-/// occupancy if the expected time of both is acceptable.
-std::optional<std::size_t> CheaperOfTwo(
-    const PlacementRules& rules,
+/// What the targets of one choice have in common.
+struct Comparison {
+  const PlacementRules& rules;
+  const std::vector<PlacementTarget>& targets;
+  std::vector<TargetCost> costs;
+
+  /// Whether nothing is gained by a target other than this one: its time is
+  /// acceptable, and the request is no more at risk than with `best_chance`.
+  bool IsAcceptable(std::size_t place, double best_chance) const {
+    return this->costs[place].time_ms <= this->rules.acceptable_ms &&
+           this->targets[place].late_chance <= best_chance + kMaxChanceGap;
+  }
+};
+
+/// The candidates with a free slot; all if there is none.
+std::vector<std::size_t> WithFreeSlots(
     const std::vector<PlacementTarget>& targets,
-    const std::vector<double>& costs,
+    const std::vector<std::size_t>& candidates) {
+  std::vector<std::size_t> free;
+  for (const std::size_t place : candidates) {
+    if (Occupancy(targets[place]) < 1) {
+      free.push_back(place);
+    }
+  }
+  return free.empty() ? candidates : free;
+}
+
+/// Precondition: `candidates` is not empty.
+std::size_t LeastOccupied(const std::vector<PlacementTarget>& targets,
+                          const std::vector<std::size_t>& candidates) {
+  return *std::min_element(candidates.begin(), candidates.end(),
+                           [&targets](std::size_t first, std::size_t second) {
+                             return Occupancy(targets[first]) <
+                                    Occupancy(targets[second]);
+                           });
+}
+
+/// Returns the target with the lowest cost, or the one with lower occupancy of
+/// those that cost about as much or are all acceptable. A fast target costs
+/// less than a slow one even if the request has to wait there, so without a
+/// preference for free slots all requests at risk would queue at the fastest.
+std::size_t CheapestOfAll(const Comparison& comparison,
+                          const std::vector<std::size_t>& candidates,
+                          double best_chance) {
+  const std::vector<std::size_t> usable =
+      WithFreeSlots(comparison.targets, candidates);
+  double lowest = comparison.costs[usable.front()].total_ms;
+  for (const std::size_t place : usable) {
+    lowest = std::min(lowest, comparison.costs[place].total_ms);
+  }
+  const double equal_cost = lowest * (1 + kEqualCostPart);
+  std::optional<std::size_t> chosen;
+  for (const std::size_t place : usable) {
+    const bool is_equal = comparison.costs[place].total_ms <= equal_cost ||
+                          comparison.IsAcceptable(place, best_chance);
+    if (is_equal &&
+        (!chosen.has_value() || Occupancy(comparison.targets[place]) <
+                                    Occupancy(comparison.targets[*chosen]))) {
+      chosen = place;
+    }
+  }
+  return chosen.value_or(usable.front());
+}
+
+/// Chooses among the usable targets of the own zone, or of all others: the
+/// cheaper one of two drawn targets, or the one with lower occupancy if both
+/// are acceptable. A request that is at risk is compared at all of them.
+std::optional<std::size_t> ChooseAmong(
+    const Comparison& comparison,
     const std::vector<std::size_t>& candidates,
     double first_draw,
     double second_draw) {
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const std::vector<PlacementTarget>& targets = comparison.targets;
+  double best_chance = 1;
+  double worst_chance = 0;
+  for (const std::size_t place : candidates) {
+    best_chance = std::min(best_chance, targets[place].late_chance);
+    worst_chance = std::max(worst_chance, targets[place].late_chance);
+  }
+  if (worst_chance > kMaxChanceGap) {
+    return CheapestOfAll(comparison, candidates, best_chance);
+  }
   const auto count = static_cast<double>(candidates.size());
   const std::size_t first = std::min(
       candidates.size() - 1, static_cast<std::size_t>(first_draw * count));
@@ -129,17 +216,19 @@
                  static_cast<std::size_t>(second_draw * (count - 1)));
     second = (first + 1 + step) % candidates.size();
   }
-  const double first_cost = costs[candidates[first]];
-  const double second_cost = costs[candidates[second]];
-  const double first_occupancy = Occupancy(targets[candidates[first]]);
-  const double second_occupancy = Occupancy(targets[candidates[second]]);
+  const std::size_t first_place = candidates[first];
+  const std::size_t second_place = candidates[second];
+  const double first_occupancy = Occupancy(targets[first_place]);
+  const double second_occupancy = Occupancy(targets[second_place]);
   const bool are_both_acceptable =
-      std::max(first_cost, second_cost) <= rules.acceptable_ms;
+      comparison.IsAcceptable(first_place, best_chance) &&
+      comparison.IsAcceptable(second_place, best_chance);
   const bool is_first =
       are_both_acceptable && first_occupancy != second_occupancy
           ? first_occupancy < second_occupancy
-          : first_cost <= second_cost;
-  return is_first ? candidates[first] : candidates[second];
+          : comparison.costs[first_place].total_ms <=
+                comparison.costs[second_place].total_ms;
+  return is_first ? first_place : second_place;
 }
 
 }  // namespace
@@ -163,21 +252,28 @@
   const std::vector<double> excess_errors = ExcessErrorRates(targets);
   const Candidates found = FindCandidates(targets, now);
   const double typical_ms = TypicalWorkMs(targets);
-  std::vector<double> costs(targets.size());
+  Comparison comparison{rules, targets, {}};
   for (std::size_t i = 0; i < targets.size(); ++i) {
-    costs[i] = CostOf(rules, targets[i], excess_errors[i], typical_ms);
+    comparison.costs.push_back(
+        CostOf(rules, targets[i], excess_errors[i], typical_ms));
+  }
+  std::optional<std::size_t> near =
+      ChooseAmong(comparison, found.near, draws.near_first, draws.near_second);
+  if (rules.keeps_zone && near.has_value() && Occupancy(targets[*near]) >= 1) {
+    near = LeastOccupied(targets, found.near);
   }
-  const std::optional<std::size_t> near = CheaperOfTwo(
-      rules, targets, costs, found.near, draws.near_first, draws.near_second);
-  const std::optional<std::size_t> far = CheaperOfTwo(
-      rules, targets, costs, found.far, draws.far_first, draws.far_second);
+  const std::optional<std::size_t> far =
+      ChooseAmong(comparison, found.far, draws.far_first, draws.far_second);
   if (!near.has_value() || !far.has_value()) {
     return near.has_value() ? near : far;
   }
-  const double near_cost = costs[*near];
-  const double far_cost = costs[*far];
+  const double near_cost = comparison.costs[*near].total_ms;
+  const double far_cost = comparison.costs[*far].total_ms;
+  const double far_chance = targets[*far].late_chance;
+  const bool is_kept = rules.keeps_zone && Occupancy(targets[*near]) < 1 &&
+                       targets[*near].late_chance <= far_chance + kMaxChanceGap;
   const bool is_near =
-      near_cost <= rules.acceptable_ms ||
+      is_kept || comparison.IsAcceptable(*near, far_chance) ||
       near_cost <= rules.zone_factor * far_cost + rules.zone_ms;
   return is_near ? near : far;
 }
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -13,7 +13,9 @@
 #include <vector>
 
 #include "almondlink/control/chain_admission.h"
+#include "almondlink/control/placement.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/run_times.h"
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
@@ -161,6 +163,20 @@
   void Attempt(const CallPointer& call);
   static bool IsTargetAvailable(const Peer& peer);
   PeerPointer ChoosePeer(const Call& call, bool is_among_refused);
+  void FitTargets(Millis now,
+                  const Call& call,
+                  const std::vector<PeerPointer>& members,
+                  std::vector<control::PlacementTarget>& views,
+                  control::PlacementRules& rules);
+  /// Records how long the target ran the call.
+  void RecordRun(const Call& call, const AnswerFrame& frame);
+  /// Records that the current attempt ended before the target's answer.
+  void RecordCutAttempt(const Call& call);
+  double MeanWorkMsAt(const std::string& service);
+  static double SpeedOf(const Peer& peer, double mean_work_ms);
+  const control::RunTimeHistogram* RunTimesOf(Millis now,
+                                              std::uint32_t route) const;
+  void AddRunTimes(Millis now, control::DecisionSums& sums);
   static void SelectEarliestLimited(
       const std::vector<PeerPointer>& members,
       std::vector<control::PlacementTarget>& views);
@@ -279,6 +295,8 @@
   };
   std::deque<AbandonedCall> abandoned;
   TrialCounts trials;
+  /// Run times by called route, from the answers to this node's calls.
+  control::RunTimeTable run_times;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -331,7 +331,8 @@
   std::uint16_t status = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  /// Time from dispatch to the answer's head.
+  /// Time from dispatch to the answer's head or, without an answer, to the end
+  /// of the run; 0 if the call was not sent.
   std::uint32_t work_us = 0;
   std::string_view status_text;
   std::string_view fields;
--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -205,6 +205,7 @@
          {"route", call->route->name},
          {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
   }
+  this->RecordCutAttempt(*call);
   this->CancelAttempt(call);
   this->RecordAbandoned(call);
   this->Finish(call);
@@ -213,6 +214,7 @@
 void EntryCalls::TimeOut(const CallPointer& call) {
   // The request may be running at the target: only its node would know.
   call->may_have_run = call->may_have_run || call->peer != nullptr;
+  this->RecordCutAttempt(*call);
   this->CancelAttempt(call);
   this->FinishFailed(call, CallReason::kTimeout);
 }
@@ -220,6 +222,7 @@
 void EntryCalls::Sweep(Millis now) {
   this->RetryWaiting();
   this->SweepQuotaWaiters();
+  control::DecayRunTimes(now, this->run_times);
   while (!this->timeouts.empty() &&
          this->timeouts.begin()->first <= now.count) {
     const std::uint32_t id = this->timeouts.begin()->second;
--- a/libs/relay/src/entry/entry_attempts.cc
+++ b/libs/relay/src/entry/entry_attempts.cc
@@ -115,6 +115,7 @@
   }
   Assign(call, peer);
   call->tried_nodes.push_back(peer->node.name);
+  call->sent_at = now;
   call->load_at_choice =
       peer->reported.running + peer->reported.waiting + peer->sent_since_report;
   call->slots_at_choice = peer->reported.slots;
@@ -187,6 +188,7 @@
     return;
   }
   const CallPointer call = found->second;
+  this->RecordRun(*call, frame);
   if (this->UpdateTargetHealth(*call, peer, frame)) {
     LogEvent(kEventTargetSetAside,
              {{"target", peer->reported.instance}, {"node", peer->node.name}});
--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -22,7 +22,7 @@
 /// One request of a caller from arrival to answer. EntryCalls is split by
 /// concern: entry_calls.cc (arrival), entry_accounts.cc (authentication and
 /// quota), entry_admission.cc (admission), entry_placement.cc (choice of
-/// target), entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
+/// target), entry_run_times.cc (run times), entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
 /// entry_quarantine.cc (requests that crash targets), entry_answers.cc (answers
 /// and completion).
 struct EntryCalls::Call {
@@ -86,6 +86,8 @@
   std::optional<FallbackAnswer> fallback_answer;
   /// Instance of the attempt that was in progress when the call ended.
   std::string last_instance;
+  /// When the current attempt was sent.
+  Millis sent_at;
   /// State of the target when it was chosen, for the log.
   std::uint32_t load_at_choice = 0;
   std::uint32_t slots_at_choice = 0;
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -343,6 +343,10 @@
   answer.id = call->id;
   answer.outcome = outcome;
   answer.reason = reason;
+  if (was_sent) {
+    const double ran_ms = PreciseNow().count - call->dispatched.count;
+    answer.work_us = static_cast<std::uint32_t>(ran_ms * kMicrosPerMilli);
+  }
   this->SetLoad(answer);
   this->events.on_answer(call->link, answer);
 }
