--- a/libs/relay/src/entry/entry_decisions.cc
+++ b/libs/relay/src/entry/entry_decisions.cc
@@ -4,8 +4,9 @@
 /// nodes, see almondlink/control/decision_sums.h.
 namespace almondlink::relay {
 
-void EntryCalls::AddDecisions(Millis /*now*/, control::DecisionSums& sums) {
+void EntryCalls::AddDecisions(Millis now, control::DecisionSums& sums) {
   this->AddReturns(sums);
+  this->AddRunTimes(now, sums);
 }
 
 }  // namespace almondlink::relay
