--- a/libs/control/include/almondlink/control/returning_callers.h
+++ b/libs/control/include/almondlink/control/returning_callers.h
@@ -46,6 +46,10 @@
   /// Longest expected remainder of a shortage. Also bounds the time for which
   /// callers stay away after a shortage of hours.
   Millis max_remainder{60'000};
+  /// Admitted share from which a refused caller returns while an answer still
+  /// has its full value, however long the shortage lasts: it has a fair chance
+  /// then, and callers wait for a third of their remaining time at most.
+  double fair_share = 0.25;
 };
 
 /// Numbers of callers since the start of the node, for metrics.
@@ -128,6 +132,8 @@
   Millis usual_wait;
   /// Time that an answer is expected to take.
   Millis answer_time;
+  /// Longest wait after which an answer still has its full value.
+  Millis full_value_wait;
   /// Admitted share of requests like this one.
   double share = 1;
 };
