Fair shares among client accounts while a class is short of capacity

Cause: admission drew at random within a class (route and account priority), so an account at six times its usual rate took capacity from all others in proportion. Change: libs/control account_shares (level by weighted max-min fairness, demand at a node and at the home of an account); frames kAccountDemand and kAccountDemandTotal between a node and the home; the home sends its totals before a loan of quota too, so that a node that sees an account rarely knows its demand; EntryCalls::AccountShare. QuotaExchange::Lender is public, and AccountTable knows the mean limit for accounts without one.

--- a/libs/policy/include/almondlink/policy/account_table.h
+++ b/libs/policy/include/almondlink/policy/account_table.h
@@ -57,6 +57,12 @@
   const ClientAccount* Find(AccountKey key) const;
 
   std::size_t Size() const { return this->accounts.size(); }
+  /// Mean rate of the accounts that have a limit; 0 if none has. Thread safe.
+  double MeanLimitPerSecond() const {
+    return this->limited > 0
+               ? this->limits_per_s / static_cast<double>(this->limited)
+               : 0;
+  }
   /// All priorities that accounts have. Thread safe.
   const std::set<std::uint32_t>& Priorities() const { return this->priorities; }
 
@@ -66,6 +72,9 @@
   std::unordered_map<std::string, std::uint32_t> by_api_key;
   std::unordered_map<std::uint32_t, std::uint32_t> by_key;
   std::set<std::uint32_t> priorities;
+  /// Accounts that have a limit, and the sum of their rates.
+  std::size_t limited = 0;
+  double limits_per_s = 0;
 };
 
 /// Short form of a secret by which it can be told apart in a log: eight
--- a/libs/policy/src/account_table.cc
+++ b/libs/policy/src/account_table.cc
@@ -34,6 +34,10 @@
   if (account.priority.has_value()) {
     this->priorities.insert(*account.priority);
   }
+  if (account.limit.per_s > 0) {
+    ++this->limited;
+    this->limits_per_s += account.limit.per_s;
+  }
   this->accounts.push_back(std::move(account));
   return {};
 }
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -16,6 +16,7 @@
 #include "almondlink/control/repeat_allowance.h"
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
+#include "almondlink/relay/account_exchange.h"
 #include "almondlink/relay/caller_listener.h"
 #include "almondlink/relay/decision_exchange.h"
 #include "almondlink/relay/load_exchange.h"
@@ -71,6 +72,8 @@
 
   /// Exchange of quota loans between nodes.
   QuotaExchange& Quotas() { return this->quotas; }
+  /// Exchange of the demand of client accounts between nodes.
+  AccountExchange& Accounts() { return this->accounts; }
   /// Exchange of quarantine records between nodes.
   QuarantineExchange& Quarantine() { return this->quarantine; }
   const TrialCounts& Trials() const { return this->trials; }
@@ -229,6 +232,10 @@
   /// The admitted share of the call's client account, which is `share` where
   /// accounts are not told apart.
   double AccountShare(const Call& call, double share);
+  /// Computes the levels up to which accounts are admitted.
+  void UpdateAccountLevels(Millis now);
+  /// Adds the demand of the accounts that this node is the home of.
+  void AddAccountDemand(Millis now, control::DecisionSums& sums);
   /// The admitted share of a caller that is new or that returns after a
   /// refusal, from the share of its class or account.
   double ReturnShare(const Call& call, double share);
@@ -241,6 +248,7 @@
   policy::RouteTablePointer table;
   control::ChainAdmission admission;
   QuotaExchange quotas;
+  AccountExchange accounts;
   /// Calls that wait for a quota token, in order of arrival, by account.
   std::map<policy::AccountKey, std::deque<std::weak_ptr<Call>>> quota_waiters;
   /// When the source of the policy was last known to be reachable.
--- a/libs/relay/include/almondlink/relay/quota_exchange.h
+++ b/libs/relay/include/almondlink/relay/quota_exchange.h
@@ -59,6 +59,11 @@
   /// them, per second.
   double DemandPerSecond(const policy::ClientAccount& account) const;
   double LentPerSecond(const policy::ClientAccount& account) const;
+  /// The node that lends the quota of an account, which may be this one. Exists
+  /// for accounts without a limit too.
+  PeerPointer Lender(policy::AccountKey account) const;
+  /// Since when the set of possible lenders has been the same.
+  Millis LenderSetSince() const { return this->lender_set_since; }
   /// Name of the account's lender, for the log.
   std::string LenderOf(const policy::ClientAccount& account) const;
 
@@ -75,7 +80,6 @@
   std::size_t BucketCount() const { return this->buckets.size(); }
 
  private:
-  PeerPointer Lender(policy::AccountKey account) const;
   bool IsSettled(Millis now) const;
   void ResetAfterSuspension(Millis now);
   QuotaLoanFrame LendTo(policy::AccountKey account,
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -128,6 +128,7 @@
     services.push_back(std::move(capacity));
   }
   control::UpdateShares(rules.admission, services, roots, this->admission);
+  this->UpdateAccountLevels(now);
   this->LogShareChanges();
 }
 
--- a/libs/relay/src/entry/entry_calls.cc
+++ b/libs/relay/src/entry/entry_calls.cc
@@ -34,6 +34,7 @@
              [this](policy::AccountKey account) {
                this->ServeQuotaWaiters(account);
              }),
+      accounts(peers_in, this->quotas),
       started_at(BootTimeNow()),
       random(std::random_device()()),
       quarantine(settings_in,
@@ -51,6 +52,7 @@
   this->RecordPolicyContact(this->table_set_at);
   this->part_turns.clear();
   this->quotas.SetTable(this->table);
+  this->accounts.SetTable(this->table);
   this->class_names.clear();
   for (const policy::Route& route : this->table->routes) {
     this->SetClassPriority(route, std::nullopt);
--- a/libs/relay/src/entry/entry_decisions.cc
+++ b/libs/relay/src/entry/entry_decisions.cc
@@ -4,7 +4,8 @@
 /// nodes, see almondlink/control/decision_sums.h.
 namespace almondlink::relay {
 
-void EntryCalls::AddDecisions(Millis /*now*/, control::DecisionSums& /*sums*/) {
+void EntryCalls::AddDecisions(Millis now, control::DecisionSums& sums) {
+  this->AddAccountDemand(now, sums);
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/frame_dispatch.cc
+++ b/libs/relay/src/frame_dispatch.cc
@@ -45,6 +45,7 @@
       if (!Decode(frame.payload, request)) {
         return false;
       }
+      this->entry.Accounts().SendTotals(link, request.account);
       this->entry.Quotas().OnQuotaRequest(link, request);
       return true;
     }
@@ -56,6 +57,8 @@
       return this->decisions.OnReport(link, frame.payload);
     case FrameType::kDecisionSums:
       return this->decisions.OnSums(link, frame.payload);
+    case FrameType::kAccountDemand:
+      return this->entry.Accounts().OnDemand(link, frame.payload);
     case FrameType::kQuarantine:
     case FrameType::kTrialRequest:
     case FrameType::kTrialEnded:
@@ -117,6 +120,8 @@
       return this->loads.OnTotals(peer, frame.payload);
     case FrameType::kDecisionTotals:
       return this->decisions.OnTotals(peer, frame.payload);
+    case FrameType::kAccountDemandTotal:
+      return this->entry.Accounts().OnTotal(frame.payload);
     case FrameType::kTrialResponse: {
       TrialResponseFrame answer;
       if (!Decode(frame.payload, answer)) {
--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -7,6 +7,7 @@
 #include "almondlink/control/idempotency_key.h"
 #include "almondlink/policy/bundle.h"
 #include "almondlink/policy/fold.h"
+#include "almondlink/relay/account_frames.h"
 #include "almondlink/relay/bearer_key.h"
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
@@ -131,6 +132,8 @@
     FrameTrip<relay::TrialResponseFrame>(frame->payload);
     FrameTrip<relay::TrialEndedFrame>(frame->payload);
     FrameTrip<relay::LoadReportFrame>(frame->payload);
+    FrameTrip<relay::AccountDemandFrame>(frame->payload);
+    FrameTrip<relay::AccountDemandTotalFrame>(frame->payload);
     SumsTrip(frame->payload);
     rest.remove_prefix(frame->size);
   }
