--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -129,6 +129,7 @@
   }
   control::UpdateShares(rules.admission, services, roots, this->admission);
   this->UpdateReturns(now, roots);
+  this->UpdateAccountLevels(now);
   this->LogShareChanges();
 }
 
--- a/libs/relay/src/entry/entry_decisions.cc
+++ b/libs/relay/src/entry/entry_decisions.cc
@@ -7,6 +7,7 @@
 void EntryCalls::AddDecisions(Millis now, control::DecisionSums& sums) {
   this->AddReturns(sums);
   this->AddRunTimes(now, sums);
+  this->AddAccountDemand(now, sums);
 }
 
 }  // namespace almondlink::relay
