--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -93,6 +93,9 @@
   /// Requests per second that the target accepts from all nodes together;
   /// nothing if it names no limit.
   std::optional<double> limit_per_s;
+  /// Measured speed relative to the mean of the service, used in place of that
+  /// by `work_ms`; 0 if unknown.
+  double speed = 0;
 };
 
 /// Capacity and demand of one service.
--- a/libs/control/include/almondlink/control/decision_sums.h
+++ b/libs/control/include/almondlink/control/decision_sums.h
@@ -40,7 +40,9 @@
   double slots = 0;
   /// Calls that run or are queued at the targets in the zone.
   double load = 0;
-  /// Calls that the nodes of the zone have under way at targets of any zone.
+  /// Calls that the nodes of the zone have under way at targets of any zone,
+  /// weighted as the slots there: a call takes twice as long at a target of
+  /// half the speed, and is no more load for that.
   double outstanding = 0;
 };
 
--- a/libs/control/include/almondlink/control/placement.h
+++ b/libs/control/include/almondlink/control/placement.h
@@ -89,7 +89,7 @@
   /// Whether the request stays in its zone while a target with a free slot is
   /// there, whatever the times: which requests leave the zone has been decided
   /// for all of them (see zone_surplus.h). A request that is at risk in the
-  /// zone may still leave it.
+  /// zone, or that would take four times as long there, may still leave it.
   bool keeps_zone = false;
   /// Milliseconds that are added to the expected time, times the chance that
   /// the request ends late there: the timeout, for which its caller waits in
