--- a/libs/control/src/placement.cc
+++ b/libs/control/src/placement.cc
@@ -27,6 +27,9 @@
 /// a zone are compared. Otherwise all nodes would choose the same target until
 /// its next report.
 constexpr double kEqualCostPart = 0.02;
+/// A request that was to stay in its zone leaves it if it would take this many
+/// times as long there. The speeds of sound targets differ by up to three.
+constexpr double kMaxKeptFactor = 4;
 
 /// For each target, the part by which its error rate exceeds that of the
 /// others.
@@ -259,19 +262,22 @@
   }
   std::optional<std::size_t> near =
       ChooseAmong(comparison, found.near, draws.near_first, draws.near_second);
-  if (rules.keeps_zone && near.has_value() && Occupancy(targets[*near]) >= 1) {
-    near = LeastOccupied(targets, found.near);
-  }
   const std::optional<std::size_t> far =
       ChooseAmong(comparison, found.far, draws.far_first, draws.far_second);
   if (!near.has_value() || !far.has_value()) {
     return near.has_value() ? near : far;
   }
+  if (rules.keeps_zone && Occupancy(targets[*near]) >= 1) {
+    near = LeastOccupied(targets, found.near);
+  }
   const double near_cost = comparison.costs[*near].total_ms;
   const double far_cost = comparison.costs[*far].total_ms;
   const double far_chance = targets[*far].late_chance;
-  const bool is_kept = rules.keeps_zone && Occupancy(targets[*near]) < 1 &&
-                       targets[*near].late_chance <= far_chance + kMaxChanceGap;
+  const bool is_kept =
+      rules.keeps_zone && Occupancy(targets[*near]) < 1 &&
+      targets[*near].late_chance <= far_chance + kMaxChanceGap &&
+      comparison.costs[*near].time_ms <=
+          kMaxKeptFactor * comparison.costs[*far].time_ms;
   const bool is_near =
       is_kept || comparison.IsAcceptable(*near, far_chance) ||
       near_cost <= rules.zone_factor * far_cost + rules.zone_ms;
--- a/libs/control/tests/placement_fit_test.cc
+++ b/libs/control/tests/placement_fit_test.cc
@@ -233,5 +233,29 @@
           0U);
 }
 
+TEST_CASE("a zone keeps its calls unless its targets are full or far slower") {
+  std::vector<PlacementTarget> targets(2);
+  for (PlacementTarget& target : targets) {
+    target.is_open = true;
+    target.slots = 40;
+    target.work_ms = 20;
+  }
+  targets[0].is_own_zone = true;
+  targets[0].work_ms = 60;
+  PlacementRules rules;
+  const auto choose = [&]() {
+    return ChoosePlacementTarget(rules, targets, Millis{0}, PlacementDraws());
+  };
+  REQUIRE(choose() == 1U);
+  rules.keeps_zone = true;
+  REQUIRE(choose() == 0U);
+  // A target that is about to fail is no reason to stay.
+  targets[0].work_ms = 200;
+  REQUIRE(choose() == 1U);
+  targets[0].work_ms = 60;
+  targets[0].reported_load = 40;
+  REQUIRE(choose() == 1U);
+}
+
 }  // namespace
 }  // namespace almondlink::control
