Relay: measured speed, usable slots and zone surplus in use

Change: ServedCalls measures the speed and the usable slots of its target (served_speed.cc) and tells the speed with answers, states and loads. Admission counts slots by it in place of the mean time. EntryCalls samples the calls in flight by service, records the bytes of calls by route, and sends the surplus of its zone to others (entry_zones.cc). The mean times of the service are those of all its targets, this one included. Switches fit_targets, use_warmup, learn_slots, sum_zones. Metrics target_speed, target_usable_share, target_warmup_left_ms, placed_by_chance_total, left_zone_by_surplus_total; events E638 and E640.

--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -111,9 +111,9 @@
   double capacity = 0;
   for (const TargetCapacity& target : service.targets) {
     const bool is_known = target.work_ms > 0 && mean_work_ms > 0;
+    const double by_time = is_known ? mean_work_ms / target.work_ms : 1;
     const double speed =
-        is_known ? std::min(kMaxRelativeSpeed, mean_work_ms / target.work_ms)
-                 : 1;
+        std::min(kMaxRelativeSpeed, target.speed > 0 ? target.speed : by_time);
     const double excess_errors =
         ExcessErrorRate(target.error_rate,
                         (total_error_rate - target.error_rate) / other_targets);
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -17,6 +17,7 @@
 #include "almondlink/control/repeat_allowance.h"
 #include "almondlink/control/run_times.h"
 #include "almondlink/control/weighted_round_robin.h"
+#include "almondlink/control/zone_surplus.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
 #include "almondlink/relay/decision_exchange.h"
@@ -47,6 +48,14 @@
   std::map<std::string, std::uint64_t> by_outcome;
 };
 
+/// Choices of a target, for metrics.
+struct FitCounts {
+  /// For calls that may not end in time at some target of the zone.
+  std::uint64_t at_risk = 0;
+  /// In another zone because of the surplus of the own one.
+  std::uint64_t left_zone = 0;
+};
+
 /// Dispatches the requests of one event loop. Not thread safe: belongs to that
 /// loop.
 class EntryCalls {
@@ -76,6 +85,7 @@
   /// Exchange of quarantine records between nodes.
   QuarantineExchange& Quarantine() { return this->quarantine; }
   const TrialCounts& Trials() const { return this->trials; }
+  const FitCounts& Fits() const { return this->fit_counts; }
 
   /// Handles the answer to a call, from the node beside its target.
   void OnAnswer(const PeerPointer& peer, const AnswerFrame& frame);
@@ -177,6 +187,19 @@
   const control::RunTimeHistogram* RunTimesOf(Millis now,
                                               std::uint32_t route) const;
   void AddRunTimes(Millis now, control::DecisionSums& sums);
+  struct ZoneState;
+  double OwnZoneSlots(const std::string& service);
+  void UpdateZones(Millis now);
+  static void LogSurplus(Millis now,
+                         const std::string& service,
+                         ZoneState& state);
+  void ApplySurplus(const Call& call,
+                    const std::vector<PeerPointer>& members,
+                    std::vector<control::PlacementTarget>& views,
+                    control::PlacementRules& rules);
+  void RecordBytes(const Call& call, const AnswerFrame& frame);
+  void RecordPartBytes(const Call& call, std::size_t bytes);
+  void AddZoneCalls(control::DecisionSums& sums);
   static void SelectEarliestLimited(
       const std::vector<PeerPointer>& members,
       std::vector<control::PlacementTarget>& views);
@@ -297,6 +320,20 @@
   TrialCounts trials;
   /// Run times by called route, from the answers to this node's calls.
   control::RunTimeTable run_times;
+  FitCounts fit_counts;
+  /// Zones and calls of this node, for one service.
+  struct ZoneState {
+    control::ZoneFlow flow;
+    /// Sum over the samples since the last report.
+    double in_flight = 0;
+    double logged_part = 0;
+    Millis logged_at;
+  };
+  std::map<std::string, ZoneState> zone_flows;
+  std::uint32_t zone_samples = 0;
+  bool has_zone_sums = false;
+  /// When the sums arrived that were applied last.
+  Millis zone_sums_at;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -176,6 +176,9 @@
   void AnnounceErrorRate();
   void AddSlotTime();
   void WriteChains(MetricText& out) const;
+  void WriteCapacityMetrics(MetricText& out) const;
+  TargetRules MakeTargetRules() const;
+  std::map<std::uint32_t, double> ServiceMeans(Millis now);
 
   boost::asio::io_context& loop;
   RelaySettings settings;
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -18,6 +18,8 @@
 #include "almondlink/control/error_rate.h"
 #include "almondlink/control/instance_tracker.h"
 #include "almondlink/control/named_limit.h"
+#include "almondlink/control/target_speed.h"
+#include "almondlink/control/usable_slots.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/relay/target_pool.h"
 
@@ -76,11 +78,25 @@
   std::function<void()> on_limit_changed;
   /// Called every few seconds while the target names a limit.
   std::function<void(const LimitUsage& usage)> on_limit_usage;
+  /// The usable slots of the target have changed by themselves.
+  std::function<void()> on_slots_changed;
   /// An answer of that incarnation of the target states that it is leaving.
   std::function<void(const control::InstanceIncarnation& incarnation)>
       on_says_leaving;
 };
 
+/// How the capacity of the target is measured, see DecisionRules.
+struct TargetRules {
+  /// Hash of the availability zone of the node, for the sums; 0: its slots are
+  /// not added to them.
+  std::uint32_t zone = 0;
+  /// Share of the target's slots that is used at first.
+  double usable_share = 0.94;
+  bool fits_targets = false;
+  bool uses_warmup = false;
+  bool learns_slots = false;
+};
+
 /// Counters for metrics; they never decrease.
 struct ServedCounters {
   std::uint64_t calls = 0;
@@ -112,8 +128,17 @@
 
   void SetTargetAddress(const boost::asio::ip::tcp::endpoint& address);
 
-  /// Sets the share of the target's slots that is used.
-  void SetUsableShare(double share) { this->tracker.usable_share = share; }
+  /// Sets how the target is measured. What was learned is kept unless it
+  /// follows from a setting that has changed.
+  void SetTargetRules(const TargetRules& rules);
+
+  /// Sets the mean time of a run by class over all targets of the service.
+  void SetServiceMeans(Millis now,
+                       const std::map<std::uint32_t, double>& means);
+  /// Speed of the target relative to its service; 0 if unknown.
+  double Speed(Millis now) const;
+  /// Time left of the warm-up that the target announced.
+  Millis WarmupLeft(Millis now) const;
 
   /// Accepts a call; exactly one answer follows unless it is cancelled.
   /// `transit_delay`: time that the frame was delayed on the link, which is
@@ -213,6 +238,16 @@
   void FinishCrashCheck(bool is_connect_refused);
   bool IsCrash(bool is_connect_refused) const;
   void RecordWorkTime(const Call& call, LatencyMs work);
+  void ForgetCapacity();
+  bool IsWarmingUp(Millis now) const;
+  bool IsMeasurable(const Call& call) const;
+  double Occupancy() const;
+  void BeginMeasure(Call& call) const;
+  void MeasureCompleted(Call& call, LatencyMs work);
+  void MeasureCut(Call& call);
+  void UpdateCapacity(Millis now);
+  void LogCapacity(Millis now);
+  void AddZoneSlots(control::DecisionSums& sums) const;
   void Reject(const CallPointer& call, CallReason reason);
   void SendOutcome(const CallPointer& call,
                    CallOutcome outcome,
@@ -262,6 +297,14 @@
   Millis last_sweep;
   control::RateMeter calls_of_runs;
   control::RateMeter started_runs;
+  TargetRules target_rules;
+  control::SpeedMeter speed;
+  control::UsableSlotsMeter usable;
+  bool was_warming_up = false;
+  /// As last logged, and when.
+  double logged_speed = 1;
+  double logged_share = 0.94;
+  Millis capacity_logged_at;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -116,6 +116,7 @@
     target.error_rate = counts_errors ? state.error_rate : 0;
     target.demand = state.demand;
     target.limit_per_s = state.limit_per_s;
+    target.speed = rules.fits_targets ? state.speed : 0;
     control::ServiceCapacity& capacity = capacities[state.service];
     capacity.service = state.service;
     capacity.key = ServiceKeyOf(state.service);
--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -23,6 +23,7 @@
     this->Finish(call);
     return;
   }
+  this->RecordBytes(*call, frame);
   const double took = PreciseNow().count - call->started.count;
   this->counts.RecordAddedLatency(
       LatencyMs{took - frame.work_us / kMicrosPerMilli});
@@ -79,6 +80,7 @@
     return;
   }
   const CallPointer call = found->second;
+  this->RecordPartBytes(*call, frame.body.size());
   call->exchange->SendPart(frame.body);
   if (frame.is_last) {
     if (!frame.is_broken) {
@@ -223,6 +225,7 @@
   this->RetryWaiting();
   this->SweepQuotaWaiters();
   control::DecayRunTimes(now, this->run_times);
+  this->UpdateZones(now);
   while (!this->timeouts.empty() &&
          this->timeouts.begin()->first <= now.count) {
     const std::uint32_t id = this->timeouts.begin()->second;
--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -22,7 +22,8 @@
 /// One request of a caller from arrival to answer. EntryCalls is split by
 /// concern: entry_calls.cc (arrival), entry_accounts.cc (authentication and
 /// quota), entry_admission.cc (admission), entry_placement.cc (choice of
-/// target), entry_run_times.cc (run times), entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
+/// target), entry_run_times.cc (run times), entry_zones.cc (zones),
+/// entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
 /// entry_quarantine.cc (requests that crash targets), entry_answers.cc (answers
 /// and completion).
 struct EntryCalls::Call {
--- a/libs/relay/src/entry/entry_decisions.cc
+++ b/libs/relay/src/entry/entry_decisions.cc
@@ -6,6 +6,7 @@
 
 void EntryCalls::AddDecisions(Millis now, control::DecisionSums& sums) {
   this->AddRunTimes(now, sums);
+  this->AddZoneCalls(sums);
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry/entry_placement.cc
+++ b/libs/relay/src/entry/entry_placement.cc
@@ -97,6 +97,7 @@
   rules.error_penalty_ms =
       this->settings.decisions.error_targets * latency_target;
   this->FitTargets(now, call, members, views, rules);
+  this->ApplySurplus(call, members, views, rules);
   std::optional<std::size_t> place =
       control::ChoosePlacementTarget(rules, views, now, draws);
   if (!place.has_value()) {
--- a/libs/relay/src/entry/entry_run_times.cc
+++ b/libs/relay/src/entry/entry_run_times.cc
@@ -19,6 +19,13 @@
 constexpr double kMinDerivedSpeed = 0.4;
 constexpr double kMaxDerivedSpeed = 2;
 
+/// Time for which one more call would be queued at the target.
+double QueuedMs(const control::PlacementTarget& view) {
+  const double load = view.reported_load + view.sent_since + 1.0;
+  const double queued = std::max(0.0, load - view.slots);
+  return queued * view.work_ms / std::max(1U, view.slots);
+}
+
 }  // namespace
 
 /// Mean over the available targets of a service of their mean time of a call;
@@ -127,12 +134,16 @@
   rules.late_penalty_ms = static_cast<double>(call.route->timeout.count);
   const double mean_work_ms = this->MeanWorkMsAt(call.service);
   const auto left_ms = static_cast<double>((call.deadline - now).count);
+  bool is_at_risk = false;
   for (std::size_t i = 0; i < members.size(); ++i) {
     control::PlacementTarget& view = views[i];
     view.speed = SpeedOf(*members[i], mean_work_ms);
-    view.late_chance =
-        control::ChanceToBeLate(*run_times, LatencyMs{left_ms}, view.speed);
+    view.late_chance = control::ChanceToBeLate(
+        *run_times, LatencyMs{left_ms - QueuedMs(view)}, view.speed);
+    is_at_risk = is_at_risk || (view.is_open && view.is_own_zone &&
+                                view.late_chance > control::kMaxChanceGap);
   }
+  this->fit_counts.at_risk += is_at_risk ? 1 : 0;
 }
 
 void EntryCalls::AddRunTimes(Millis now, control::DecisionSums& sums) {
--- a/libs/relay/src/node_target_events.cc
+++ b/libs/relay/src/node_target_events.cc
@@ -45,6 +45,7 @@
       open->ScheduleFlush();
     }
   };
+  events.on_slots_changed = [this]() { this->peers.AnnounceState(); };
   events.on_failed = [this](const std::string& request_id, CallReason reason,
                             bool was_sent, Millis waited) {
     if (!WouldLog(kEventTargetCallFailed)) {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -71,7 +71,7 @@
               }),
       tick_timer(loop_in) {
   this->served.SetTargetAddress(this->settings.target_address);
-  this->served.SetUsableShare(this->settings.decisions.usable_slots);
+  this->served.SetTargetRules(this->MakeTargetRules());
   this->entry.Quarantine().SetConfirmationHandlers(this->hooks.on_confirmed,
                                                    this->hooks.on_cleared);
 }
@@ -184,6 +184,7 @@
   state.error_rate = this->served.ErrorRate();
   state.is_load_summed = this->loads.IsSummed();
   state.limit_per_s = this->served.Limit().reported_per_s;
+  state.speed = this->served.Speed(BootTimeNow());
   return state;
 }
 
@@ -314,7 +315,7 @@
   this->settings.quotas = changed.quotas;
   this->settings.revoke_after = changed.revoke_after;
   this->settings.decisions = changed.decisions;
-  this->served.SetUsableShare(changed.decisions.usable_slots);
+  this->served.SetTargetRules(this->MakeTargetRules());
   this->served.SetTargetAddress(changed.target_address);
 }
 
@@ -336,6 +337,7 @@
   this->RunPendingAcks(now, std::nullopt);
   this->AnnounceErrorRate();
   if (this->ticks % kPeerTicks == 0) {
+    this->served.SetServiceMeans(now, this->ServiceMeans(now));
     this->UpdateSettled(now);
     this->peers.Tick(now);
     if (this->loads.Tick(now, this->MakeState())) {
--- a/libs/relay/src/serving/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -10,7 +10,8 @@
 /// A call for the target beside this node, from its arrival to its outcome.
 /// ServedCalls is implemented in served_calls.cc (queueing, dispatch and
 /// outcomes), served_notices.cc (what the target states about itself in its
-/// answers) and served_crashes.cc (crashes of the target's process).
+/// answers), served_speed.cc (its speed and usable slots) and served_crashes.cc
+/// (crashes of the target's process).
 struct ServedCalls::Call {
   LinkId link = 0;
   std::uint32_t id = 0;
@@ -37,6 +38,10 @@
   std::string request_head;
   std::string caller_service;
   std::string body;
+  /// Measurement of the run, and the part of the target's slots that were taken
+  /// when it began.
+  control::MeasuredRun measured;
+  double occupancy_at_start = 0;
   /// Runs that its own calls caused.
   control::CallCounts run_counts;
   TargetExchange exchange;
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -159,6 +159,7 @@
   ++this->running;
   ++this->started_runs.events;
   call->dispatched = PreciseNow();
+  this->BeginMeasure(*call);
   call->sent_at = now;
   call->sent_to = this->tracker.current.incarnation;
   ++this->counters.sent;
@@ -253,6 +254,7 @@
     if (!is_error) {
       // The time to an error says nothing about the duration of the work.
       this->RecordWorkTime(*call, work);
+      this->MeasureCompleted(*call, work);
     }
     answer.run_counts = call->run_counts;
     control::AddRuns({ServiceKeyOf(this->tracker.current.service), 1},
@@ -299,6 +301,7 @@
   this->queue.erase(call->order);
   this->calls.erase(CallKey{call->link, call->id});
   if (call->is_running) {
+    this->MeasureCut(*call);
     call->is_running = false;
     --this->running;
   }
@@ -320,6 +323,7 @@
   answer.error_rate = this->ErrorRate();
   answer.target_work_ms = control::MeanWorkMs(this->Meter());
   answer.target_calls_per_run = this->CallsPerRun();
+  answer.speed = this->Speed(BootTimeNow());
   if (this->limit.per_s.has_value()) {
     answer.limit_per_s = this->limit.per_s;
     const Millis wait =
@@ -474,6 +478,7 @@
     this->SendOutcome(call, CallOutcome::kBroken, CallReason::kTimeout);
   }
   this->pool.Sweep(now);
+  this->UpdateCapacity(now);
   this->FillSlots(now);
   this->ReportLimitUsage(now);
   if (now - this->meter.window_start >= Millis{100}) {
--- a/libs/relay/src/serving/served_decisions.cc
+++ b/libs/relay/src/serving/served_decisions.cc
@@ -4,6 +4,8 @@
 /// almondlink/control/decision_sums.h.
 namespace almondlink::relay {
 
-void ServedCalls::AddDecisions(control::DecisionSums& /*sums*/) const {}
+void ServedCalls::AddDecisions(control::DecisionSums& sums) const {
+  this->AddZoneSlots(sums);
+}
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/serving/served_notices.cc
+++ b/libs/relay/src/serving/served_notices.cc
@@ -31,6 +31,7 @@
     // one.
     this->pool.CloseIdle();
     control::ResetWork(this->meter);
+    this->ForgetCapacity();
     this->errors = control::ErrorRate();
     this->ForgetNotices();
     if (before.id == current.id) {
