--- a/libs/relay/src/entry/entry_decisions.cc
+++ b/libs/relay/src/entry/entry_decisions.cc
@@ -8,6 +8,7 @@
   this->AddReturns(sums);
   this->AddRunTimes(now, sums);
   this->AddAccountDemand(now, sums);
+  this->AddZoneCalls(sums);
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/serving/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -14,8 +14,8 @@
 /// A call for the target beside this node, from its arrival to its outcome.
 /// ServedCalls is implemented in served_calls.cc (dispatch and outcomes),
 /// served_queue.cc (the queue), served_notices.cc (what the target states about
-/// itself in its answers) and served_crashes.cc (crashes of the target's
-/// process).
+/// itself in its answers), served_speed.cc (its speed and usable slots) and
+/// served_crashes.cc (crashes of the target's process).
 struct ServedCalls::Call {
   LinkId link = 0;
   std::uint32_t id = 0;
@@ -45,6 +45,10 @@
   std::string request_head;
   std::string caller_service;
   std::string body;
+  /// Measurement of the run, and the part of the target's slots that were taken
+  /// when it began.
+  control::MeasuredRun measured;
+  double occupancy_at_start = 0;
   /// Runs that its own calls caused.
   control::CallCounts run_counts;
   TargetExchange exchange;
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -148,6 +148,7 @@
   ++this->running;
   ++this->started_runs.events;
   call->dispatched = PreciseNow();
+  this->BeginMeasure(*call);
   call->sent_at = now;
   call->sent_to = this->tracker.current.incarnation;
   ++this->counters.sent;
@@ -242,6 +243,7 @@
     if (!is_error) {
       // The time to an error says nothing about the duration of the work.
       this->RecordWorkTime(*call, work);
+      this->MeasureCompleted(*call, work);
     }
     answer.run_counts = call->run_counts;
     control::AddRuns({ServiceKeyOf(this->tracker.current.service), 1},
@@ -288,6 +290,7 @@
   this->Dequeue(call);
   this->calls.erase(CallKey{call->link, call->id});
   if (call->is_running) {
+    this->MeasureCut(*call);
     call->is_running = false;
     --this->running;
   }
@@ -309,6 +312,7 @@
   answer.error_rate = this->ErrorRate();
   answer.target_work_ms = control::MeanWorkMs(this->Meter());
   answer.target_calls_per_run = this->CallsPerRun();
+  answer.speed = this->Speed(BootTimeNow());
   if (this->limit.per_s.has_value()) {
     answer.limit_per_s = this->limit.per_s;
     const Millis wait =
@@ -459,6 +463,7 @@
     this->SendOutcome(call, CallOutcome::kBroken, CallReason::kTimeout);
   }
   this->pool.Sweep(now);
+  this->UpdateCapacity(now);
   this->FillSlots(now);
   this->ReportLimitUsage(now);
   if (now - this->meter.window_start >= Millis{100}) {
