Queued calls move to targets of the service with free slots

Cause: a call that waits at a target that became slow stayed there while other targets of its service had free slots. Failing test: queue_moves_test, one of twenty targets ten times slower for a second; without moves the calls that arrive there wait twice as long and more. Change: the node beside the target returns queued calls that may move and are expected to wait above 25 ms as kMoved, up to its fraction of half of the free slots elsewhere in an interval. The waiting calls of the fraction are the fewest at the interval starts that the others' figures may lag behind; with its newest figure, targets that become slow at once exceeded the bound in the test. The entry node sends a returned call to an untried target, leaves the health of the first one as it is, and marks a call without moves left so that it waits. The queue's counters are in the metrics, E635 and E639 are logged at most once in ten seconds. Process tests of moves are still to be written.

--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -124,6 +124,9 @@
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
+  /// Whether calls may be sent to the target beside the node.
+  static bool IsTargetAvailable(const Peer& peer);
+
  private:
   struct Call;
   using CallPointer = std::shared_ptr<Call>;
@@ -159,7 +162,7 @@
   void Admit(const CallPointer& call);
   bool AdmitRoot(const CallPointer& call);
   void Attempt(const CallPointer& call);
-  static bool IsTargetAvailable(const Peer& peer);
+  bool HasUntriedTarget(const Call& call);
   PeerPointer ChoosePeer(const Call& call, bool is_among_refused);
   static void SelectEarliestLimited(
       const std::vector<PeerPointer>& members,
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -316,6 +316,9 @@
   kQuarantined = 13,
   /// The rate limit that the target names is used up.
   kRateLimited = 14,
+  /// Other targets of the service have free slots, see
+  /// almondlink/control/queue_moves.h.
+  kMoved = 15,
 };
 
 /// Name of a reason in logs and metrics; "unknown" for unknown values.
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -175,6 +175,10 @@
   void ContinueStop(Millis now);
   void AnnounceErrorRate();
   void AddSlotTime();
+  void MoveWaiting(Millis now);
+  control::LoadElsewhere LoadOfOtherTargets(Millis now);
+  void LogQueue(Millis now);
+  void WriteQueue(MetricText& out) const;
   void WriteChains(MetricText& out) const;
 
   boost::asio::io_context& loop;
@@ -206,6 +210,9 @@
   /// requests were refused because its service was short of capacity.
   double short_available_s = 0;
   double short_used_s = 0;
+  /// Counters of the queue when events about it were last logged, and when.
+  QueueCounters logged_queue;
+  Millis queue_logged_at;
   Millis stop_started;
   /// Assumed to be readable until a read fails.
   bool has_source = true;
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -17,6 +17,7 @@
 #include "almondlink/control/error_rate.h"
 #include "almondlink/control/instance_tracker.h"
 #include "almondlink/control/named_limit.h"
+#include "almondlink/control/queue_moves.h"
 #include "almondlink/control/queue_order.h"
 #include "almondlink/relay/peer_frames.h"
 #include "almondlink/relay/target_pool.h"
@@ -108,6 +109,10 @@
   std::map<std::uint32_t, std::uint64_t> left_by_class;
   /// Calls that were run while a more urgent one was queued.
   std::uint64_t overtook = 0;
+  /// Calls that were returned because other targets had free slots, and those
+  /// that stayed only because of the bound on moves.
+  std::uint64_t moved = 0;
+  std::uint64_t moves_denied = 0;
 };
 
 /// Not thread safe: belongs to one loop.
@@ -182,6 +187,15 @@
   /// milliseconds.
   void Sweep(Millis now);
 
+  /// Returns queued calls for which other targets have free slots, within the
+  /// bound of control/queue_moves.h. Call it as often as Sweep(), also while no
+  /// call is queued.
+  void MoveWaiting(Millis now,
+                   const control::LoadElsewhere& elsewhere,
+                   const control::MoveRules& rules);
+  /// Slots in use and queued calls of the target.
+  control::TargetLoad Load() const;
+
   const control::InstanceTracker& Ledger() const { return this->tracker; }
   /// Whether the target's process is known to have crashed and has not reported
   /// since.
@@ -207,6 +221,7 @@
   void RejectOverflow();
   void RejectExpired(Millis now);
   void RejectLate(Millis now, const CallPointer& call);
+  double MeanTimeInProgress(Millis now) const;
   bool CanStillStart(Millis now, const Call& call) const;
   LatencyMs LikelyMinRun(Millis now, const Call& call) const;
   void FillSlots(Millis now);
@@ -273,6 +288,7 @@
   bool is_by_due = false;
   control::RunEstimates run_estimates;
   QueueCounters queue_counters;
+  control::MoveBudget move_budget;
   std::unordered_map<std::string, CallPointer> runs;
   /// Calls whose connection closed without an answer, while it is checked
   /// whether the target's process has crashed.
--- a/libs/relay/src/entry/entry_attempts.cc
+++ b/libs/relay/src/entry/entry_attempts.cc
@@ -132,7 +132,9 @@
   frame.is_repeat = call->info.is_repeat || call->attempts > 0;
   call->waits_for_limit =
       peer->limited_until > now || call->limited_moves >= kMaxLimitedMoves;
-  frame.may_move = !call->waits_for_limit;
+  // A call that has no moves left would end if it were returned again.
+  frame.may_move =
+      !call->waits_for_limit && !call->must_stay && call->moves < kMaxMoves;
   frame.depth = call->info.depth;
   frame.priority = call->info.priority;
   frame.root_route = call->info.root_route;
@@ -233,10 +235,14 @@
   this->ForwardAnswer(call, frame);
 }
 
-/// Returns true if the target was set aside because of the outcome.
+/// Returns true if the target was set aside because of the outcome. A call that
+/// was returned from its queue says nothing about the target's health.
 bool EntryCalls::UpdateTargetHealth(const Call& call,
                                     const PeerPointer& peer,
                                     const AnswerFrame& frame) {
+  if (frame.reason == CallReason::kMoved) {
+    return false;
+  }
   const bool is_failure = frame.outcome == CallOutcome::kBroken ||
                           frame.reason == CallReason::kConnectFailed ||
                           frame.outcome == CallOutcome::kRefusedByTarget;
@@ -259,6 +265,18 @@
   return others == 0 ? 0 : sum / others;
 }
 
+/// Whether an available target has not been tried.
+bool EntryCalls::HasUntriedTarget(const Call& call) {
+  const std::vector<PeerPointer>& members =
+      this->peers.PeersOfService(call.service);
+  return std::any_of(
+      members.begin(), members.end(), [&call](const PeerPointer& peer) {
+        return IsTargetAvailable(*peer) &&
+               std::find(call.tried_nodes.begin(), call.tried_nodes.end(),
+                         peer->node.name) == call.tried_nodes.end();
+      });
+}
+
 void EntryCalls::OnFailedAttempt(const CallPointer& call,
                                  CallOutcome outcome,
                                  CallReason reason) {
@@ -281,6 +299,12 @@
       // The call may wait there if all targets are limited.
       call->tried_nodes.pop_back();
     }
+    if (reason == CallReason::kMoved && !this->HasUntriedTarget(*call)) {
+      // The other targets became unavailable meanwhile. The queue it came from
+      // is better than a draining target or none.
+      call->tried_nodes.pop_back();
+      call->must_stay = true;
+    }
     goes_on = !is_final && call->moves <= kMaxMoves;
     if (goes_on) {
       this->counts.CountMove(*call->route, reason);
--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -70,6 +70,9 @@
   /// whether the current attempt waits for a token there.
   std::uint32_t limited_moves = 0;
   bool waits_for_limit = false;
+  /// It was returned from a queue when there was no other target left, so it
+  /// waits at its next one.
+  bool must_stay = false;
   bool may_have_run = false;
   /// Until when the call waits for its trial (0: it never waited), and the
   /// digest of its content.
--- a/libs/relay/src/exchange/peer_frames.cc
+++ b/libs/relay/src/exchange/peer_frames.cc
@@ -9,11 +9,11 @@
 
 namespace {
 
-constexpr std::array<const char*, 15> kReasonNames = {
-    "none",         "draining",       "no-instance", "other-instance",
-    "full",         "connect-failed", "deadline",    "closed",
-    "bad-answer",   "timeout",        "link-lost",   "link-busy",
-    "target-ended", "ends-targets",   "rate-limited"};
+constexpr std::array<const char*, 16> kReasonNames = {
+    "none",         "draining",       "no-instance",  "other-instance",
+    "full",         "connect-failed", "deadline",     "closed",
+    "bad-answer",   "timeout",        "link-lost",    "link-busy",
+    "target-ended", "ends-targets",   "rate-limited", "moved"};
 
 }  // namespace
 
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -150,6 +150,7 @@
   }
   this->WriteChains(out);
   WriteTarget(this->served, out);
+  this->WriteQueue(out);
   WritePeers(this->peers, out);
   WriteLoads(this->loads, now, out);
   WriteQuarantine(this->entry, this->entry.Quarantine().Table(), out);
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -335,6 +335,8 @@
   ++this->ticks;
   this->entry.Sweep(now);
   this->served.Sweep(now);
+  this->MoveWaiting(now);
+  this->LogQueue(now);
   this->RunPendingAcks(now, std::nullopt);
   this->AnnounceErrorRate();
   if (this->ticks % kPeerTicks == 0) {
--- a/libs/relay/src/serving/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -27,6 +27,8 @@
   bool may_move = false;
   /// It found no free slot when it arrived.
   bool has_waited = false;
+  /// The bound on moves has kept it here; counted once.
+  bool was_denied_move = false;
   bool is_running = false;
   bool is_answering = false;
   /// The caller no longer waits for the answer.
--- a/libs/relay/src/serving/served_queue.cc
+++ b/libs/relay/src/serving/served_queue.cc
@@ -123,4 +123,60 @@
                                        : CallReason::kFull;
 }
 
+control::TargetLoad ServedCalls::Load() const {
+  return {control::UsableSlots(this->tracker), this->running, this->Waiting()};
+}
+
+/// Mean time in milliseconds that the running calls have taken so far.
+double ServedCalls::MeanTimeInProgress(Millis now) const {
+  double sum = 0;
+  for (const auto& [id, call] : this->runs) {
+    sum += static_cast<double>((now - call->sent_at).count);
+  }
+  return this->runs.empty() ? 0 : sum / static_cast<double>(this->runs.size());
+}
+
+void ServedCalls::MoveWaiting(Millis now,
+                              const control::LoadElsewhere& elsewhere,
+                              const control::MoveRules& rules) {
+  const std::uint32_t moves = control::MovesLeft(now, rules, this->Waiting(),
+                                                 elsewhere, this->move_budget);
+  // A target that names a rate limit returns calls by that limit alone.
+  if (this->queue.empty() || this->limit.per_s.has_value() ||
+      elsewhere.free_slots <= 0) {
+    return;
+  }
+  std::vector<CallPointer> waiting;
+  std::vector<bool> may_move;
+  waiting.reserve(this->queue.size());
+  may_move.reserve(this->queue.size());
+  for (const auto& [key, call] : this->queue) {
+    waiting.push_back(call);
+    may_move.push_back(call->may_move);
+  }
+  const double run_ms = control::ExpectedRunMs(control::MeanWorkMs(this->meter),
+                                               this->MeanTimeInProgress(now));
+  const control::MoveChoice choice = control::ChooseMoves(
+      may_move, control::UsableSlots(this->tracker), run_ms, moves);
+  this->move_budget.returned +=
+      static_cast<std::uint32_t>(choice.returned.size());
+  for (const std::size_t place : choice.denied) {
+    Call& call = *waiting[place];
+    this->queue_counters.moves_denied += call.was_denied_move ? 0 : 1;
+    call.was_denied_move = true;
+  }
+  for (const std::size_t place : choice.returned) {
+    const CallPointer& call = waiting[place];
+    // A sender on this node reacts to the return of another call at once, and
+    // may have withdrawn this one.
+    if (this->queue.count(call->key) == 0) {
+      continue;
+    }
+    ++this->queue_counters.moved;
+    // It is part of the demand at the target that runs it.
+    control::RemoveRefusedDemand(call->info.root_route, this->meter);
+    this->Reject(call, CallReason::kMoved);
+  }
+}
+
 }  // namespace almondlink::relay
