--- a/libs/control/include/almondlink/control/returning_callers.h
+++ b/libs/control/include/almondlink/control/returning_callers.h
@@ -46,9 +46,10 @@
   /// Longest expected remainder of a shortage. Also bounds the time for which
   /// callers stay away after a shortage of hours.
   Millis max_remainder{60'000};
-  /// Admitted share from which a refused caller returns while an answer still
-  /// has its full value, however long the shortage lasts: it has a fair chance
-  /// then, and callers wait for a third of their remaining time at most.
+  /// Admitted share from which a refused caller returns after the usual time,
+  /// however long the shortage lasts: it has a fair chance then of an answer
+  /// with its full value. Callers wait for a third of their remaining time at
+  /// most, so a longer wait would only make the answer late.
   double fair_share = 0.25;
 };
 
@@ -56,6 +57,9 @@
 struct ReturnCounts {
   /// Refused callers that were invited to return while the shortage lasts.
   std::uint64_t invited = 0;
+  /// Beyond these: refused callers that return after the usual time as well,
+  /// because many requests of their class are admitted.
+  std::uint64_t fair_chance = 0;
   /// Refused callers that were told to return at the expected end of the
   /// shortage, within their deadline.
   std::uint64_t after_shortage = 0;
@@ -132,15 +136,19 @@
   Millis usual_wait;
   /// Time that an answer is expected to take.
   Millis answer_time;
-  /// Longest wait after which an answer still has its full value.
-  Millis full_value_wait;
   /// Admitted share of requests like this one.
   double share = 1;
 };
 
 /// When a refused caller is told to return.
 struct ReturnPlan {
-  enum class Kind { kNoShortage, kInvited, kAfterShortage, kNoCapacity };
+  enum class Kind {
+    kNoShortage,
+    kInvited,
+    kFairChance,
+    kAfterShortage,
+    kNoCapacity
+  };
   Kind kind = Kind::kNoShortage;
   Millis wait;
 };
--- a/libs/control/src/returning_callers.cc
+++ b/libs/control/src/returning_callers.cc
@@ -128,16 +128,17 @@
     ++state.counts.invited;
     return {ReturnPlan::Kind::kInvited, caller.usual_wait};
   }
+  if (caller.share >= rules.fair_share) {
+    ++state.counts.fair_chance;
+    return {ReturnPlan::Kind::kFairChance, caller.usual_wait};
+  }
   const Millis remainder =
       std::min(rules.max_remainder, now - *state.short_since);
   const double jitter = 1 + kRemainderJitter * (2 * jitter_draw - 1);
   // A shortage that has just begun says nothing about its length.
-  Millis wait = std::max(caller.usual_wait,
-                         Millis{static_cast<std::int64_t>(
+  const Millis wait = std::max(
+      caller.usual_wait, Millis{static_cast<std::int64_t>(
                              jitter * static_cast<double>(remainder.count))});
-  if (caller.share >= rules.fair_share) {
-    wait = std::min(wait, std::max(caller.usual_wait, caller.full_value_wait));
-  }
   if (is_in_time(wait)) {
     ++state.counts.after_shortage;
     return {ReturnPlan::Kind::kAfterShortage, wait};
--- a/libs/relay/src/entry/entry_returns.cc
+++ b/libs/relay/src/entry/entry_returns.cc
@@ -56,12 +56,6 @@
   caller.answer_time = Millis{static_cast<std::int64_t>(
       kAnswerPart * static_cast<double>(answer_limit.count))};
   caller.share = call.admission_share;
-  // A caller that returned before has used a part of its latency target.
-  const control::ReturningClass& state = found->second.callers;
-  const Millis longest = std::max(state.longest_stated, state.previous_longest);
-  const Millis age = longest - caller.time_left.value_or(longest);
-  caller.full_value_wait = call.route->latency_target - caller.answer_time -
-                           std::max(Millis{0}, age);
   const control::ReturnPlan plan =
       control::PlanReturn(control::ReturnRules{}, now, caller, this->Draw(),
                           this->Draw(), found->second.callers);
