Returning callers: callers wait for a part of their remaining time at most

Cause: with long advice callers return late, since they wait for a third of their time at most. Change: setting return_honoured; a caller with a fair chance that returns anyway gets the usual time. Test: returning_callers_test, callers that return in any case are told the usual time.

--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -204,6 +204,9 @@
   /// as told are admitted first, and Retry-After follows the room that is
   /// expected.
   bool returning_first;
+  /// Callers wait no longer than this part of the time that they have left,
+  /// whatever Retry-After says; 1: as long as they are told.
+  double return_honoured;
   /// At a service that is short, the client accounts of a class share what is
   /// admitted in proportion to the rates that the policy grants them.
   bool fair_accounts;
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -133,6 +133,8 @@
        SettingSlot{&settings.decisions.move_waiting}},
       {"decisions", "returning_first", "true", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.returning_first}},
+      {"decisions", "return_honoured", "0.33", 0.01, 1.0,
+       SettingSlot{&settings.decisions.return_honoured}},
       {"decisions", "fair_accounts", "true", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.fair_accounts}},
       {"decisions", "fit_targets", "true", 0.0, 1000000000000000.0,
--- a/libs/control/include/almondlink/control/returning_callers.h
+++ b/libs/control/include/almondlink/control/returning_callers.h
@@ -46,10 +46,12 @@
   /// Longest expected remainder of a shortage. Also bounds the time for which
   /// callers stay away after a shortage of hours.
   Millis max_remainder{60'000};
-  /// Admitted share from which a refused caller returns after the usual time,
-  /// however long the shortage lasts: it has a fair chance then of an answer
-  /// with its full value. Callers wait for a third of their remaining time at
-  /// most, so a longer wait would only make the answer late.
+  /// Part of its remaining time that a caller waits at most, whatever it is
+  /// told; 1 if it waits as long as it is told.
+  double honoured_part = 1;
+  /// Admitted share from which a caller that returns anyway is told to return
+  /// after the usual time: it has a fair chance then of an answer with its full
+  /// value, which a longer wait would only make late.
   double fair_share = 0.25;
 };
 
--- a/libs/control/src/returning_callers.cc
+++ b/libs/control/src/returning_callers.cc
@@ -128,7 +128,7 @@
     ++state.counts.invited;
     return {ReturnPlan::Kind::kInvited, caller.usual_wait};
   }
-  if (caller.share >= rules.fair_share) {
+  if (rules.honoured_part < 1 && caller.share >= rules.fair_share) {
     ++state.counts.fair_chance;
     return {ReturnPlan::Kind::kFairChance, caller.usual_wait};
   }
--- a/libs/control/tests/returning_callers_test.cc
+++ b/libs/control/tests/returning_callers_test.cc
@@ -345,6 +345,30 @@
             .kind == ReturnPlan::Kind::kAfterShortage);
 }
 
+// Guards against late answers for callers that return before the time that they
+// are told, and for which there would be capacity earlier.
+TEST_CASE("callers that return in any case are told the usual time") {
+  ReturnRules rules;
+  rules.honoured_part = 0.33;
+  ReturningClass state;
+  UpdateReturningClass(rules, Millis{1'000'000}, 100, 0.5, state);
+  RefusedCaller caller;
+  caller.time_left = kDeadline;
+  caller.usual_wait = Millis{400};
+  caller.answer_time = kAnswerTime;
+  caller.share = 0.5;
+  const double not_invited = 0.99;
+  const double middle = 0.5;
+  const ReturnPlan fair =
+      PlanReturn(rules, Millis{1'020'000}, caller, not_invited, middle, state);
+  CHECK(fair.kind == ReturnPlan::Kind::kFairChance);
+  CHECK(fair.wait == Millis{400});
+  CHECK(state.counts.fair_chance == 1);
+  caller.share = 0.1;
+  CHECK(PlanReturn(rules, Millis{1'020'000}, caller, not_invited, middle, state)
+            .kind == ReturnPlan::Kind::kNoCapacity);
+}
+
 // Guards against an age that begins anew with each wave of a demand that
 // oscillates around the capacity.
 TEST_CASE("a shortage ends after a second in which all were admitted") {
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -15,6 +15,7 @@
 #include "almondlink/control/policy_source.h"
 #include "almondlink/control/quota_lending.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/returning_callers.h"
 #include "almondlink/control/target_health.h"
 #include "almondlink/relay/header_names.h"
 
@@ -59,6 +60,7 @@
   bool moves_waiting = true;
   /// Whether refused callers that return are admitted before new ones.
   bool admits_returning_first = true;
+  control::ReturnRules returns;
   /// Whether client accounts share a short service by their granted rates.
   bool has_fair_accounts = true;
   /// Whether targets are chosen by the chance to end in time.
--- a/libs/relay/src/entry/entry_returns.cc
+++ b/libs/relay/src/entry/entry_returns.cc
@@ -57,8 +57,8 @@
       kAnswerPart * static_cast<double>(answer_limit.count))};
   caller.share = call.admission_share;
   const control::ReturnPlan plan =
-      control::PlanReturn(control::ReturnRules{}, now, caller, this->Draw(),
-                          this->Draw(), found->second.callers);
+      control::PlanReturn(this->settings.decisions.returns, now, caller,
+                          this->Draw(), this->Draw(), found->second.callers);
   if (plan.kind == control::ReturnPlan::Kind::kAfterShortage ||
       plan.kind == control::ReturnPlan::Kind::kNoCapacity) {
     this->LogReturnPlan(now, call, plan.wait, found->second);
@@ -109,7 +109,7 @@
   if (!this->settings.decisions.admits_returning_first) {
     return share;
   }
-  const control::ReturnRules rules;
+  const control::ReturnRules& rules = this->settings.decisions.returns;
   ReturningState& state = this->returning[call.info.root_route];
   if (call.head.time_left_ms.has_value()) {
     call.is_returning = control::RecordCaller(
@@ -130,7 +130,7 @@
   const double span = static_cast<double>((now - this->returns_updated).count);
   this->returns_updated = now;
   for (auto& [root_route, state] : this->returning) {
-    control::UpdateReturningClass(control::ReturnRules{}, now, span,
+    control::UpdateReturningClass(this->settings.decisions.returns, now, span,
                                   control::ShareOf(root_route, this->admission),
                                   state.callers);
     const auto total = roots.find(root_route);
