--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -87,11 +87,13 @@
 /// It ended.
 constexpr Event kEventTraceOff{501, Level::kInfo, "trace-off", Volume::kRare};
 /// A root request was refused because its chain has no capacity left; `share`
-/// is the part of its route's requests that is admitted, `version` the
+/// is the part of such requests of `account` that is admitted, `class_share`
+/// that of all requests of the route and account priority, `version` the
 /// policy's.
 constexpr Event kEventRefusedAtEntry{600, Level::kInfo, "refused-at-entry",
                                      Volume::kFailure};
 /// A request was answered 503: it has not run and never will, for `reason`.
+/// `account` is the client account, if any.
 constexpr Event kEventNotRun{601, Level::kInfo, "not-run", Volume::kFailure};
 /// A request was sent to a target and its outcome is not known: 502, or 504
 /// when its time was over. `target` is the last that received it, `attempts`
@@ -112,7 +114,7 @@
 constexpr Event kEventNoRoute{606, Level::kInfo, "no-route", Volume::kFailure};
 /// A target's answer was passed on; a sample when there are many. `load`,
 /// `slots` and `told_age_ms` are the reported state that the target was chosen
-/// by, and its age.
+/// by, and its age. `account` is the client account, if any.
 constexpr Event kEventAnswered{607, Level::kInfo, "answered", Volume::kRoutine};
 /// A request was refused for its API key: 401 where no account of the policy
 /// holds it or there is none, 400 where the field is malformed, 503 where this
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -16,6 +16,7 @@
 #include "almondlink/control/repeat_allowance.h"
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
+#include "almondlink/relay/account_counts.h"
 #include "almondlink/relay/account_exchange.h"
 #include "almondlink/relay/caller_listener.h"
 #include "almondlink/relay/decision_exchange.h"
@@ -124,6 +125,8 @@
   const std::map<std::string, std::uint64_t>& RefusalsByService() const {
     return this->refusals_by_service;
   }
+  /// Root requests of client accounts while their class was short of capacity.
+  const AccountCounts& CountsByAccount() const { return this->account_counts; }
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
@@ -234,6 +237,13 @@
   double AccountShare(const Call& call, double share);
   /// Computes the levels up to which accounts are admitted.
   void UpdateAccountLevels(Millis now);
+  void LogAccountLevels(Millis now);
+  /// Counts a decision about a root request of a class that is short of
+  /// capacity.
+  void CountAccountDecision(const Call& call,
+                            double class_share,
+                            double account_share,
+                            bool is_admitted);
   /// Adds the demand of the accounts that this node is the home of.
   void AddAccountDemand(Millis now, control::DecisionSums& sums);
   /// The admitted share of a caller that is new or that returns after a
@@ -249,6 +259,9 @@
   control::ChainAdmission admission;
   QuotaExchange quotas;
   AccountExchange accounts;
+  AccountCounts account_counts;
+  /// When the level of each class was last logged.
+  std::map<std::uint32_t, Millis> logged_levels;
   /// Calls that wait for a quota token, in order of arrival, by account.
   std::map<policy::AccountKey, std::deque<std::weak_ptr<Call>>> quota_waiters;
   /// When the source of the policy was last known to be reachable.
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -32,9 +32,12 @@
   }
   const double class_share =
       control::ShareOf(call->info.root_route, this->admission);
-  request.share =
-      this->ReturnShare(*call, this->AccountShare(*call, class_share));
-  if (control::TryAdmitRoot(request, this->Draw(), this->admission)) {
+  const double account_share = this->AccountShare(*call, class_share);
+  request.share = this->ReturnShare(*call, account_share);
+  const bool is_admitted =
+      control::TryAdmitRoot(request, this->Draw(), this->admission);
+  this->CountAccountDecision(*call, class_share, account_share, is_admitted);
+  if (is_admitted) {
     return true;
   }
   const Millis wait = this->RetryAfter(*call);
@@ -43,7 +46,9 @@
              {{"request", call->head.id},
               {"parent", this->ParentOf(*call)},
               {"route", call->route->name},
+              {"account", call->AccountName()},
               {"share", std::to_string(*request.share)},
+              {"class_share", std::to_string(class_share)},
               {"share_age_ms",
                std::to_string((call->arrived - this->admission.updated).count)},
               {"version", std::to_string(call->table->version)},
--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -21,10 +21,10 @@
 
 /// One request of a caller from arrival to answer. EntryCalls is split by
 /// concern: entry_calls.cc (arrival), entry_accounts.cc (authentication and
-/// quota), entry_admission.cc (admission), entry_placement.cc (choice of
-/// target), entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
-/// entry_quarantine.cc (requests that crash targets), entry_answers.cc (answers
-/// and completion).
+/// quota), entry_fair_accounts.cc (shares of accounts), entry_admission.cc
+/// (admission), entry_placement.cc (choice of target), entry_attempts.cc
+/// (sending), entry_repeats.cc (repeat allowance), entry_quarantine.cc
+/// (requests that crash targets), entry_answers.cc (answers and completion).
 struct EntryCalls::Call {
   std::uint32_t id = 0;
   RequestHead head;
@@ -35,6 +35,10 @@
   /// The authenticated account. Null if the policy has no accounts, for
   /// anonymous routes and for calls that targets make.
   const policy::ClientAccount* account = nullptr;
+  /// Name of the account, for the log; empty if there is none.
+  std::string AccountName() const {
+    return this->account == nullptr ? std::string() : this->account->name;
+  }
   std::string api_key;
   /// Until when the call waits for a quota token.
   Millis quota_wait_deadline;
