--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -140,6 +140,8 @@
   }
   /// Root requests of client accounts while their class was short of capacity.
   const AccountCounts& CountsByAccount() const { return this->account_counts; }
+  /// Appends the numbers of callers that were told to return and that did.
+  void WriteReturns(MetricText& out) const;
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
@@ -298,6 +300,7 @@
     double offered_per_s = 0;
     std::optional<Millis> logged_at;
   };
+  static control::ReturnAccount AccountOf(const Call& call);
   Millis UsualRetryAfter(const policy::Route& route);
   void LogReturnPlan(Millis now,
                      const Call& call,
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -139,6 +139,7 @@
     out.Add(MetricLabel("service", service), static_cast<double>(count));
   }
   WriteAccountCounts(this->entry.CountsByAccount(), out);
+  this->entry.WriteReturns(out);
   out.Begin(
       "short_slot_seconds_total", "counter",
       "Slot time, available (there) and used, while requests were refused "
