--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -90,6 +90,24 @@
   }
 }
 
+void DecisionsTrip(std::string_view payload) {
+  namespace relay = almondlink::relay;
+  almondlink::control::DecisionSums sums;
+  if (!relay::Decode(payload, sums)) {
+    return;
+  }
+  std::string bytes;
+  relay::AppendDecisions(relay::FrameType::kDecisionSums, sums, bytes);
+  bool is_bad = false;
+  const std::optional<relay::RawFrame> raw = relay::NextFrame(bytes, is_bad);
+  almondlink::control::DecisionSums again;
+  if (!raw.has_value() || !relay::Decode(raw->payload, again) ||
+      again.run_times.size() != sums.run_times.size() ||
+      again.zones.size() != sums.zones.size()) {
+    __builtin_trap();
+  }
+}
+
 template <typename Frame>
 void FrameTrip(std::string_view payload) {
   namespace relay = almondlink::relay;
@@ -135,6 +153,7 @@
     FrameTrip<relay::AccountDemandFrame>(frame->payload);
     FrameTrip<relay::AccountDemandTotalFrame>(frame->payload);
     SumsTrip(frame->payload);
+    DecisionsTrip(frame->payload);
     rest.remove_prefix(frame->size);
   }
 }
