Returning callers: test with a lost node, and sums of a new aggregator

Cause: after the loss of an aggregator, the sums of the next one begin with a few nodes. A node whose own invitations were missing there gave no preference until the sums were complete. A caller without capacity could be told a time up to 10 ms within its deadline, since answers round to hundredths.

Test: relay_returns_test, three real processes, 400 callers per second that return as told; the node that refused them is killed.

Change: sums below the node's own part are not used, its own counts are. Retry-After beyond the deadline is rounded up.

--- a/libs/relay/src/entry/entry_returns.cc
+++ b/libs/relay/src/entry/entry_returns.cc
@@ -14,6 +14,8 @@
 /// Retry-After if the route is not known, and the minimum.
 constexpr Millis kDefaultRetryAfter{300};
 constexpr Millis kMinRetryAfter{50};
+/// Unit of Retry-After in answers, in milliseconds.
+constexpr std::int64_t kRetryAfterUnit = 10;
 /// Time that an answer is expected to take, as a part of the time for which the
 /// node waits for it or in which it has its full value. Run times of chains are
 /// not known at entry; later answers are of little use.
@@ -68,7 +70,13 @@
       plan.kind == control::ReturnPlan::Kind::kNoCapacity) {
     this->LogReturnPlan(now, call, plan.wait, found->second);
   }
-  return plan.wait;
+  if (plan.kind != control::ReturnPlan::Kind::kNoCapacity) {
+    return plan.wait;
+  }
+  // Answers state hundredths of a second; a lower value would be within the
+  // caller's deadline.
+  return Millis{(plan.wait.count + kRetryAfterUnit - 1) / kRetryAfterUnit *
+                kRetryAfterUnit};
 }
 
 void EntryCalls::LogReturnPlan(Millis now,
@@ -89,24 +97,25 @@
             {"returned", std::to_string(rates.returned_per_s)}});
 }
 
-/// Rates of the class over all nodes; over this node alone if the sums or the
-/// offered rate of the other nodes are not known.
+/// Rates of the class over all nodes; over this node alone if those of the
+/// other nodes are not known. Sums that are below the part of this node are
+/// incomplete: those of a new aggregator begin with a few nodes.
 control::ReturnLoad EntryCalls::ReturnLoadOf(
     Millis now,
     std::uint32_t root_route,
     const ReturningState& state) const {
+  const control::ReturnRates own = control::LocalReturnRates(state.callers);
   const control::DecisionSums* totals = this->decisions.Totals(now);
   if (totals != nullptr && state.offered_per_s > 0) {
     const auto sums = totals->returns.find(root_route);
-    return {state.offered_per_s, sums == totals->returns.end()
-                                     ? control::ReturnRates{}
-                                     : sums->second};
+    if (sums != totals->returns.end() &&
+        sums->second.invited_per_s >= own.invited_per_s) {
+      return {state.offered_per_s, sums->second};
+    }
   }
-  const auto own = this->admission.routes.find(root_route);
-  return {
-      own == this->admission.routes.end() ? 0 : own->second.offered.per_s,
-      control::LocalReturnRates(state.callers),
-  };
+  const auto own_load = this->admission.routes.find(root_route);
+  const bool is_known = own_load != this->admission.routes.end();
+  return {is_known ? own_load->second.offered.per_s : 0, own};
 }
 
 double EntryCalls::ReturnShare(Call& call, double share) {
