--- a/libs/relay/src/entry/entry_call.h
+++ b/libs/relay/src/entry/entry_call.h
@@ -21,10 +21,10 @@
 
 /// One request of a caller from arrival to answer. EntryCalls is split by
 /// concern: entry_calls.cc (arrival), entry_accounts.cc (authentication and
-/// quota), entry_admission.cc (admission), entry_placement.cc (choice of
-/// target), entry_attempts.cc (sending), entry_repeats.cc (repeat allowance),
-/// entry_quarantine.cc (requests that crash targets), entry_answers.cc (answers
-/// and completion).
+/// quota), entry_admission.cc (admission), entry_returns.cc (callers that
+/// return), entry_placement.cc (choice of target), entry_attempts.cc (sending),
+/// entry_repeats.cc (repeat allowance), entry_quarantine.cc (requests that
+/// crash targets), entry_answers.cc (answers and completion).
 struct EntryCalls::Call {
   std::uint32_t id = 0;
   RequestHead head;
