Nodes that are the home of no account receive the sums; levels are kept while homes change

Cause: DecisionExchange sends totals only to nodes whose part is not empty, so a node that was the home of no account had no level; and after a home was lost, the sums lacked its accounts for 1.5 s. Change: a node adds an empty histogram for each class in which it reports accounts; the last level is kept up to 2.5 s after the set of lenders changed.

--- a/libs/relay/include/almondlink/relay/account_exchange.h
+++ b/libs/relay/include/almondlink/relay/account_exchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -25,16 +26,19 @@
 /// each report with the totals. A request that waits for quota needs no earlier
 /// report: the home sends the totals of its account before the loan. After a
 /// home is lost, the next one knows the demand after
-/// control::kHomeSettleTime, and until then the last total is used. A node that
-/// is cut off is the home of all accounts.
+/// control::kHomeSettleTime, and until then the last total is used, and the
+/// last level too, since the sums lack the accounts of the lost home. A node
+/// that is cut off is the home of all accounts.
 namespace almondlink::relay {
 
 /// Level of one class of root requests.
 struct ClassLevel {
   /// Infinity if no account is limited.
   double level = 0;
-  /// Since when the sums have contained the class.
+  /// Since when the sums have contained the class, and when the level was
+  /// computed.
   Millis since;
+  Millis computed_at;
   /// Mean ratio of demand and weight.
   double mean_ratio = 0;
   /// Accounts of this node that demand more than their part.
@@ -72,7 +76,9 @@
                                 const policy::ClientAccount& account,
                                 std::uint32_t route);
 
-  /// Adds the accounts that this node is the home of to the histograms.
+  /// Adds the accounts that this node is the home of to the histograms, and an
+  /// empty histogram for each class in which this node reports accounts: a node
+  /// receives the sums only if it contributes to them.
   void AddDemand(Millis now, control::DecisionSums& sums);
 
   /// Handle frames; they return false if the payload cannot be decoded.
@@ -93,6 +99,7 @@
                     const control::ChainAdmission& admission,
                     const control::DecisionSums& totals,
                     Millis totals_age);
+  bool IsHeld(Millis now, const ClassLevel& level) const;
   std::uint32_t CountAbove(Millis now, std::uint32_t route, double level) const;
   void Report(Millis now, const control::ChainAdmission& admission);
   void SendReport(Millis now,
@@ -112,6 +119,8 @@
   control::AccountMeter meter;
   control::AccountHome home;
   std::map<std::uint32_t, ClassLevel> levels;
+  /// Classes that are short of capacity and have requests of accounts here.
+  std::set<std::uint32_t> short_classes;
   /// Account priority of each class of the policy in force.
   std::map<std::uint32_t, std::optional<std::uint32_t>> class_priorities;
 };
--- a/libs/relay/src/exchange/account_exchange.cc
+++ b/libs/relay/src/exchange/account_exchange.cc
@@ -68,10 +68,15 @@
                                    const control::DecisionSums& totals,
                                    Millis totals_age) {
   std::map<std::uint32_t, ClassLevel> current;
+  for (const auto& [route, level] : this->levels) {
+    if (this->IsHeld(now, level)) {
+      current.emplace(route, level);
+    }
+  }
   for (const auto& [route, demand] : totals.account_demand) {
     const double share = control::ShareOf(route, admission);
     const double total = control::TotalDemand(demand);
-    if (total <= 0) {
+    if (total <= 0 || current.count(route) > 0) {
       continue;
     }
     const auto last = this->levels.find(route);
@@ -81,10 +86,19 @@
     entry.mean_ratio = control::MeanDemandRatio(demand);
     entry.above = this->CountAbove(now, route, entry.level);
     entry.demand_age = totals_age;
+    entry.computed_at = now;
   }
   this->levels = std::move(current);
 }
 
+/// Whether a level remains in force although new sums may have arrived: homes
+/// have changed, and the sums may lack their accounts. Where homes change all
+/// the time, a level is computed every kMaxDecisionAge.
+bool AccountExchange::IsHeld(Millis now, const ClassLevel& level) const {
+  return now - this->quotas.LenderSetSince() <= control::kMaxDecisionAge &&
+         now - level.computed_at <= control::kMaxDecisionAge;
+}
+
 std::uint32_t AccountExchange::CountAbove(Millis now,
                                           std::uint32_t route,
                                           double level) const {
@@ -108,9 +122,13 @@
 void AccountExchange::Report(Millis now,
                              const control::ChainAdmission& admission) {
   std::map<PeerPointer, AccountDemandFrame> due;
+  this->short_classes.clear();
   for (auto& [key, demand] : this->meter.accounts) {
-    if (control::ShareOf(key.route, admission) >= 1 ||
-        !control::IsReportDue(now, demand)) {
+    if (control::ShareOf(key.route, admission) >= 1) {
+      continue;
+    }
+    this->short_classes.insert(key.route);
+    if (!control::IsReportDue(now, demand)) {
       continue;
     }
     demand.reported_at = now;
@@ -290,6 +308,9 @@
   if (this->table == nullptr) {
     return;
   }
+  for (const std::uint32_t route : this->short_classes) {
+    sums.account_demand[route];
+  }
   for (const auto& [key, demand] : this->home.accounts) {
     const policy::AccountKey account(key.account);
     const policy::ClientAccount* known = this->table->accounts.Find(account);
