Admission: measured speeds are relative to the upper median of a service

Cause: a target measures a change of its own speed at once. When the runs of all targets of a service wait for an overloaded service further down, all speeds fall together, and the service would count as short although none of its targets is slower beside the others.

Change: CapacityOf divides the speeds by their upper median if that is below 1. The mean would hide a single slow target, whose slots are lost.

--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -85,6 +85,28 @@
   return sum;
 }
 
+/// Speed that the measured speeds of a service's targets are relative to: the
+/// upper median of them, or 1 if that is less. A target measures a change of
+/// its own speed at once. If the runs of all targets take longer, because they
+/// wait for a service further down, none of them has become slower beside the
+/// others and their slots are worth as much as before. The mean would hide a
+/// single slow target, whose slots are lost.
+double ReferenceSpeed(const ServiceCapacity& service) {
+  std::vector<double> speeds;
+  for (const TargetCapacity& target : service.targets) {
+    if (target.speed > 0) {
+      speeds.push_back(target.speed);
+    }
+  }
+  if (speeds.empty()) {
+    return 1;
+  }
+  const auto middle =
+      speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+  std::nth_element(speeds.begin(), middle, speeds.end());
+  return std::min(1.0, *middle);
+}
+
 /// Capacity of a service, in slots of mean speed: the slots of a slow target
 /// count for less, and a target that names a rate limit has only the slots that
 /// it can keep busy.
@@ -108,12 +130,14 @@
   }
   const double other_targets =
       std::max(1.0, static_cast<double>(service.targets.size()) - 1);
+  const double reference_speed = ReferenceSpeed(service);
   double capacity = 0;
   for (const TargetCapacity& target : service.targets) {
     const bool is_known = target.work_ms > 0 && mean_work_ms > 0;
     const double by_time = is_known ? mean_work_ms / target.work_ms : 1;
     const double speed =
-        std::min(kMaxRelativeSpeed, target.speed > 0 ? target.speed : by_time);
+        std::min(kMaxRelativeSpeed,
+                 target.speed > 0 ? target.speed / reference_speed : by_time);
     const double excess_errors =
         ExcessErrorRate(target.error_rate,
                         (total_error_rate - target.error_rate) / other_targets);
--- a/libs/control/tests/target_capacity_test.cc
+++ b/libs/control/tests/target_capacity_test.cc
@@ -41,6 +41,14 @@
   REQUIRE(halved == Approx(0.625).margin(0.03));
 }
 
+TEST_CASE("slots keep their worth while all targets slow down alike") {
+  // Their runs wait for a service further down that is overloaded. Counted as
+  // slow targets, they would look short too, and requests that do not need the
+  // overloaded service would be refused.
+  const double share = ShareOf({Target(kWorkMs, 0.25), Target(kWorkMs, 0.3)});
+  REQUIRE(share > 0.85);
+}
+
 TEST_CASE("a speed is not counted on top of the mean times that show it") {
   const double by_times =
       ShareOf({Target(kWorkMs * 1.5, 0), Target(kWorkMs * 0.75, 0)});
