Sums of zones: count of queued calls, used in the bound on moves

Cause: the sums had only slots and load of a zone, so the queued calls of one target hid the free slots of another target of its zone. The own target was also subtracted with all its slots, although the sums weight slots by speed: a slow target hid free slots of the others in its zone. Test: queue_moves_test, 'sums tell free slots and queued calls of one zone apart'; decision_sums_test and decision_frames_test cover the field. Change: ZoneLoad has a field waiting, the last one on the wire; a node subtracts what it contributes itself.

--- a/libs/control/include/almondlink/control/decision_sums.h
+++ b/libs/control/include/almondlink/control/decision_sums.h
@@ -45,6 +45,8 @@
   /// weighted as the slots there: a call takes twice as long at a target of
   /// half the speed, and is no more load for that.
   double outstanding = 0;
+  /// Calls of `load` that are queued.
+  double waiting = 0;
 };
 
 /// Accounts whose demand lies in one range of multiples of their weight.
--- a/libs/control/include/almondlink/control/queue_moves.h
+++ b/libs/control/include/almondlink/control/queue_moves.h
@@ -41,9 +41,6 @@
 struct LoadElsewhere {
   double free_slots = 0;
   double waiting = 0;
-  /// Free slots and waiting calls of a zone are known only as a difference, so
-  /// both are lower than they are.
-  bool is_net = false;
 };
 
 /// State of one target.
@@ -59,13 +56,14 @@
                         std::uint32_t sent_since,
                         LoadElsewhere& elsewhere);
 
-/// State of the other targets of `service` by the sums of all zones. `own`: the
-/// target beside this node, in zone `own_zone`. Thread safe as long as `zones`
-/// is not changed.
+/// State of the other targets of `service` by the sums of all zones. `own`:
+/// what the target beside this node, in zone `own_zone`, contributes to them;
+/// its slots are weighted by its speed as those of the sums are. Thread safe as
+/// long as `zones` is not changed.
 LoadElsewhere ElsewhereOf(const std::map<ZoneService, ZoneLoad>& zones,
                           std::uint32_t service,
                           std::uint32_t own_zone,
-                          const TargetLoad& own);
+                          const ZoneLoad& own);
 
 /// What one node returned in the current interval. Not thread safe.
 struct MoveBudget {
@@ -77,9 +75,9 @@
 };
 
 /// Number of queued calls that the node may return in one interval: its
-/// fraction of all waiting calls, of half of the free slots elsewhere. If only
-/// differences are known, at most half of its own waiting calls. The nodes of a
-/// service together return at most half of the free slots. Thread safe.
+/// fraction of all waiting calls, of half of the free slots elsewhere. The
+/// nodes of a service together return at most half of the free slots. Thread
+/// safe.
 std::uint32_t MaxMoves(std::uint32_t waiting, const LoadElsewhere& elsewhere);
 
 /// Number of calls that may be returned now; starts another interval if the
--- a/libs/control/src/decision_sums.cc
+++ b/libs/control/src/decision_sums.cc
@@ -51,6 +51,7 @@
     total.slots += load.slots;
     total.load += load.load;
     total.outstanding += load.outstanding;
+    total.waiting += load.waiting;
   }
 }
 
--- a/libs/control/src/queue_moves.cc
+++ b/libs/control/src/queue_moves.cc
@@ -23,19 +23,20 @@
 LoadElsewhere ElsewhereOf(const std::map<ZoneService, ZoneLoad>& zones,
                           std::uint32_t service,
                           std::uint32_t own_zone,
-                          const TargetLoad& own) {
+                          const ZoneLoad& own) {
   LoadElsewhere elsewhere;
-  elsewhere.is_net = true;
   for (const auto& [place, load] : zones) {
     if (place.second != service) {
       continue;
     }
-    double free = load.slots - load.load;
+    double free = load.slots - (load.load - load.waiting);
+    double waiting = load.waiting;
     if (place.first == own_zone) {
-      free -= static_cast<double>(own.slots) - (own.running + own.waiting);
+      free -= own.slots - (own.load - own.waiting);
+      waiting -= own.waiting;
     }
     elsewhere.free_slots += std::max(0.0, free);
-    elsewhere.waiting += std::max(0.0, -free);
+    elsewhere.waiting += std::max(0.0, waiting);
   }
   return elsewhere;
 }
@@ -45,13 +46,8 @@
     return 0;
   }
   const double fraction = waiting / (waiting + elsewhere.waiting);
-  double moves = fraction * kFilledPart * elsewhere.free_slots;
-  if (elsewhere.is_net) {
-    // A zone with free slots in the difference has at least as many free slots
-    // as waiting calls, so half of these fill at most half of those.
-    moves = std::min(moves, kFilledPart * waiting);
-  }
-  return static_cast<std::uint32_t>(moves);
+  return static_cast<std::uint32_t>(fraction * kFilledPart *
+                                    elsewhere.free_slots);
 }
 
 std::uint32_t MovesLeft(Millis now,
--- a/libs/control/tests/decision_sums_test.cc
+++ b/libs/control/tests/decision_sums_test.cc
@@ -12,7 +12,7 @@
   part.returns[7] = {4, 1};
   part.account_demand[7].buckets[16] = {2, 1};
   part.run_times[9].runs[5] = 10;
-  part.zones[{1, 3}] = {slots, 5, 6};
+  part.zones[{1, 3}] = {slots, 5, 6, 2};
   return part;
 }
 
@@ -34,6 +34,7 @@
   REQUIRE(total.run_times.at(9).runs[5] == 30);
   REQUIRE(total.zones.at({1, 3}).slots == 120);
   REQUIRE(total.zones.at({1, 3}).outstanding == 18);
+  REQUIRE(total.zones.at({1, 3}).waiting == 6);
 }
 
 // Guards against decisions by the figures of a node that is gone.
--- a/libs/control/tests/queue_moves_test.cc
+++ b/libs/control/tests/queue_moves_test.cc
@@ -56,9 +56,14 @@
     ZoneLoad& zone = zones[{target.zone, kService}];
     zone.slots += target.load.slots;
     zone.load += target.load.running + target.load.waiting;
+    zone.waiting += target.load.waiting;
     zones[{target.zone, kService + 1}].slots += 1000;
   }
-  return ElsewhereOf(zones, kService, targets[own].zone, targets[own].load);
+  const TargetLoad& load = targets[own].load;
+  return ElsewhereOf(zones, kService, targets[own].zone,
+                     {static_cast<double>(load.slots),
+                      static_cast<double>(load.running + load.waiting), 0,
+                      static_cast<double>(load.waiting)});
 }
 
 // Guards against many slow targets that return more calls at once than the
@@ -105,6 +110,22 @@
   CHECK(MovesLeft(Millis{1800}, rules, 20, elsewhere, budget) == 0);
 }
 
+// Guards against a zone whose queued calls hide the free slots of its other
+// targets, and against the slots that a slow target lacks being taken from
+// those of the others.
+TEST_CASE("sums tell free slots and queued calls of one zone apart") {
+  // Three targets of 20 slots: the own one at a fifth of the speed, with 30
+  // calls queued, one that is full with 10 queued, and one with 15 free.
+  const ZoneLoad own{4, 50, 0, 30};
+  const std::map<ZoneService, ZoneLoad> zones = {
+      {{1, kService}, {44, 85, 0, 40}}};
+  const LoadElsewhere elsewhere = ElsewhereOf(zones, kService, 1, own);
+  CHECK(elsewhere.free_slots == 15);
+  CHECK(elsewhere.waiting == 10);
+  // Three quarters of the waiting calls, of half of the free slots.
+  CHECK(MaxMoves(30, elsewhere) == 5);
+}
+
 // Guards against moves that only change the queue that a call waits in.
 TEST_CASE("nothing moves while nothing is free") {
   LoadElsewhere elsewhere;
@@ -112,7 +133,7 @@
   AddTargetElsewhere({20, 15, 0}, 5, elsewhere);
   CHECK(elsewhere.free_slots == 0);
   CHECK(MaxMoves(100, elsewhere) == 0);
-  CHECK(MaxMoves(0, {50, 0, false}) == 0);
+  CHECK(MaxMoves(0, {50, 0}) == 0);
 }
 
 // Guards against moves that cost more than the wait that they save.
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -218,8 +218,6 @@
   void MoveWaiting(Millis now,
                    const control::LoadElsewhere& elsewhere,
                    const control::MoveRules& rules);
-  /// Slots in use and queued calls of the target.
-  control::TargetLoad Load() const;
 
   const control::InstanceTracker& Ledger() const { return this->tracker; }
   /// Whether the target's process is known to have crashed and has not reported
--- a/libs/relay/src/exchange/decision_frames.cc
+++ b/libs/relay/src/exchange/decision_frames.cc
@@ -82,6 +82,7 @@
     writer.PutVarintFraction(load.slots);
     writer.PutVarintFraction(load.load);
     writer.PutVarintFraction(load.outstanding);
+    writer.PutVarintFraction(load.waiting);
   }
 }
 
@@ -95,6 +96,7 @@
     load.slots = in.TakeVarintFraction();
     load.load = in.TakeVarintFraction();
     load.outstanding = in.TakeVarintFraction();
+    load.waiting = in.TakeVarintFraction();
   }
 }
 
--- a/libs/relay/src/node_queue.cc
+++ b/libs/relay/src/node_queue.cc
@@ -35,11 +35,15 @@
   const std::string& service = this->served.Ledger().current.service;
   if (this->loads.IsSummed()) {
     const control::DecisionSums* totals = this->decisions.Totals(now);
-    return totals == nullptr
-               ? elsewhere
-               : control::ElsewhereOf(totals->zones, ServiceKeyOf(service),
-                                      ServiceKeyOf(this->settings.zone.Value()),
-                                      this->served.Load());
+    if (totals == nullptr) {
+      return elsewhere;
+    }
+    const control::ZoneService own{ServiceKeyOf(this->settings.zone.Value()),
+                                   ServiceKeyOf(service)};
+    control::DecisionSums part;
+    this->served.AddDecisions(part);
+    return control::ElsewhereOf(totals->zones, own.second, own.first,
+                                part.zones[own]);
   }
   for (const PeerPointer& peer : this->peers.PeersOfService(service)) {
     const bool is_usable =
--- a/libs/relay/src/serving/served_queue.cc
+++ b/libs/relay/src/serving/served_queue.cc
@@ -123,10 +123,6 @@
                                        : CallReason::kFull;
 }
 
-control::TargetLoad ServedCalls::Load() const {
-  return {control::UsableSlots(this->tracker), this->running, this->Waiting()};
-}
-
 /// Mean time in milliseconds that the running calls have taken so far.
 double ServedCalls::MeanTimeInProgress(Millis now) const {
   double sum = 0;
--- a/libs/relay/src/serving/served_speed.cc
+++ b/libs/relay/src/serving/served_speed.cc
@@ -155,6 +155,7 @@
   zone.slots +=
       control::UsableSlots(this->tracker) * (measured > 0 ? measured : 1);
   zone.load += this->Running() + this->Waiting();
+  zone.waiting += this->Waiting();
 }
 
 }  // namespace almondlink::relay
--- a/libs/relay/tests/decision_frames_test.cc
+++ b/libs/relay/tests/decision_frames_test.cc
@@ -16,7 +16,7 @@
   sums.account_demand[7].buckets[31] = {90, 1};
   sums.run_times[9].runs[0] = 0.5;
   sums.run_times[9].runs[47] = 2;
-  sums.zones[{11, 3}] = {146.5, 90, 120};
+  sums.zones[{11, 3}] = {146.5, 90, 120, 7.5};
   return sums;
 }
 
@@ -36,6 +36,7 @@
     REQUIRE(read.account_demand.at(7).buckets[31].per_s == 90);
     REQUIRE(read.run_times.at(9).runs[47] == 2);
     REQUIRE(read.zones.at({11, 3}).outstanding == 120);
+    REQUIRE(read.zones.at({11, 3}).waiting == 7.5);
     for (std::size_t size = 0; size < payload.size(); ++size) {
       REQUIRE_FALSE(Decode(payload.substr(0, size), read));
     }
