Exchange of slots: counters by class and event E634

Cause: a caller of the expensive route is refused while a less urgent one is served, and no counter or event said so.

Change: refused_for_exchange_total{route,served}, and E634 routes-exchanged when an exchange begins, ends or changes by a tenth; the event states the share that is refused for it.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -215,7 +215,8 @@
                                         "target-says-leaving", Volume::kRare};
 /// At `service`, which is short, requests of `given_up` are refused so that
 /// more requests of the less urgent `served` are served whole: `ratio` of them
-/// for each. Logged when it begins, ends or changes by a tenth.
+/// for each. `given_share` is the share of `given_up` that is refused for it, 0
+/// at the end. Logged when it begins, ends or changes by a tenth.
 constexpr Event kEventRoutesExchanged{634, Level::kInfo, "routes-exchanged",
                                       Volume::kRare};
 /// Calls left the queue of this target unrun because they could not have ended
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -24,6 +24,7 @@
 #include "almondlink/relay/quota_exchange.h"
 #include "almondlink/relay/relay_settings.h"
 #include "almondlink/relay/request_counts.h"
+#include "almondlink/relay/route_decisions.h"
 
 /// Handles the requests of callers on this host: routing, authentication,
 /// quota, admission, choice of target, repeats, and the answer.
@@ -121,6 +122,10 @@
   const std::map<std::string, std::uint64_t>& RefusalsByService() const {
     return this->refusals_by_service;
   }
+  /// Root requests refused at entry for decisions among classes.
+  const RouteDecisionCounts& RouteDecisions() const {
+    return this->route_decisions;
+  }
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
@@ -221,6 +226,10 @@
                  std::map<std::string, control::ServiceCapacity>& capacities,
                  std::map<std::uint32_t, control::RootTotals>& roots);
   void LogShareChanges();
+  void CountRefusedClass(std::uint32_t route);
+  void LogExchanges();
+  void LogExchange(const control::ExchangePair& pair,
+                   const control::GivenShare& given);
   /// Id of the request that made this call; empty for a root request.
   std::string ParentOf(const Call& call) const;
   /// A random number from 0 to below 1.
@@ -255,6 +264,9 @@
   bool has_restored_counts = false;
   std::map<std::string, std::uint64_t> repeats_denied;
   std::map<std::string, std::uint64_t> refusals_by_service;
+  RouteDecisionCounts route_decisions;
+  /// Exchanges of slots as last logged.
+  std::map<control::ExchangePair, control::GivenShare> logged_exchanges;
   /// State of the weighted selection, by route.
   std::unordered_map<std::uint32_t, control::WeightedRoundRobin> part_turns;
   std::unordered_map<std::uint32_t, CallPointer> calls;
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -53,6 +53,7 @@
   ++this->refusals_by_service[bound == this->admission.routes.end()
                                   ? std::string()
                                   : bound->second.limiting_service];
+  this->CountRefusedClass(call->info.root_route);
   call->is_refused_at_entry = true;
   if (call->id != 0) {
     this->Finish(call);
@@ -129,6 +130,7 @@
   }
   control::UpdateShares(rules.admission, services, roots, this->admission);
   this->LogShareChanges();
+  this->LogExchanges();
 }
 
 /// Adds the nodes whose loads are summed.
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -138,6 +138,9 @@
   for (const auto& [service, count] : this->entry.RefusalsByService()) {
     out.Add(MetricLabel("service", service), static_cast<double>(count));
   }
+  WriteRouteDecisions(
+      this->entry.RouteDecisions(),
+      [this](std::uint32_t key) { return this->entry.RouteName(key); }, out);
   out.Begin(
       "short_slot_seconds_total", "counter",
       "Slot time, available (there) and used, while requests were refused "
