--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -13,7 +13,10 @@
 #include <vector>
 
 #include "almondlink/control/chain_admission.h"
+#include "almondlink/control/placement.h"
 #include "almondlink/control/repeat_allowance.h"
+#include "almondlink/control/returning_callers.h"
+#include "almondlink/control/run_times.h"
 #include "almondlink/control/weighted_round_robin.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
@@ -166,6 +169,20 @@
   void Attempt(const CallPointer& call);
   static bool IsTargetAvailable(const Peer& peer);
   PeerPointer ChoosePeer(const Call& call, bool is_among_refused);
+  void FitTargets(Millis now,
+                  const Call& call,
+                  const std::vector<PeerPointer>& members,
+                  std::vector<control::PlacementTarget>& views,
+                  control::PlacementRules& rules);
+  /// Records how long the target ran the call.
+  void RecordRun(const Call& call, const AnswerFrame& frame);
+  /// Records that the current attempt ended before the target's answer.
+  void RecordCutAttempt(const Call& call);
+  double MeanWorkMsAt(const std::string& service);
+  static double SpeedOf(const Peer& peer, double mean_work_ms);
+  const control::RunTimeHistogram* RunTimesOf(Millis now,
+                                              std::uint32_t route) const;
+  void AddRunTimes(Millis now, control::DecisionSums& sums);
   static void SelectEarliestLimited(
       const std::vector<PeerPointer>& members,
       std::vector<control::PlacementTarget>& views);
@@ -240,7 +257,25 @@
   double AccountShare(const Call& call, double share);
   /// The admitted share of a caller that is new or that returns after a
   /// refusal, from the share of its class or account.
-  double ReturnShare(const Call& call, double share);
+  double ReturnShare(Call& call, double share);
+  struct ReturningState {
+    control::ReturningClass callers;
+    /// Rate of the class over all nodes; 0 if unknown.
+    double offered_per_s = 0;
+    std::optional<Millis> logged_at;
+  };
+  Millis UsualRetryAfter(const policy::Route& route);
+  void LogReturnPlan(Millis now,
+                     const Call& call,
+                     Millis wait,
+                     ReturningState& state);
+  control::ReturnLoad ReturnLoadOf(Millis now,
+                                   std::uint32_t root_route,
+                                   const ReturningState& state) const;
+  void UpdateReturns(Millis now,
+                     const std::map<std::uint32_t, control::RootTotals>& roots);
+  void AddReturns(control::DecisionSums& sums) const;
+  void CountReturnServed(const Call& call);
 
   const RelaySettings& settings;
   PeerTable& peers;
@@ -267,6 +302,9 @@
   RouteDecisionCounts route_decisions;
   /// Exchanges of slots as last logged.
   std::map<control::ExchangePair, control::GivenShare> logged_exchanges;
+  /// Callers that return, by class of root requests.
+  std::map<std::uint32_t, ReturningState> returning;
+  Millis returns_updated;
   /// State of the weighted selection, by route.
   std::unordered_map<std::uint32_t, control::WeightedRoundRobin> part_turns;
   std::unordered_map<std::uint32_t, CallPointer> calls;
@@ -291,6 +329,8 @@
   };
   std::deque<AbandonedCall> abandoned;
   TrialCounts trials;
+  /// Run times by called route, from the answers to this node's calls.
+  control::RunTimeTable run_times;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -163,6 +163,9 @@
   }
   const LatencyMs took{PreciseNow().count - call.started.count};
   this->counts.CountRequest(call.route, call.is_root, outcome, reason, took);
+  if (outcome == RequestOutcome::kServed) {
+    this->CountReturnServed(call);
+  }
   if (call.account != nullptr) {
     this->counts.CountAccountRequest(call.account->name, outcome);
   }
@@ -205,6 +208,7 @@
          {"route", call->route->name},
          {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
   }
+  this->RecordCutAttempt(*call);
   this->CancelAttempt(call);
   this->RecordAbandoned(call);
   this->Finish(call);
@@ -213,6 +217,7 @@
 void EntryCalls::TimeOut(const CallPointer& call) {
   // The request may be running at the target: only its node would know.
   call->may_have_run = call->may_have_run || call->peer != nullptr;
+  this->RecordCutAttempt(*call);
   this->CancelAttempt(call);
   this->FinishFailed(call, CallReason::kTimeout);
 }
@@ -220,6 +225,7 @@
 void EntryCalls::Sweep(Millis now) {
   this->RetryWaiting();
   this->SweepQuotaWaiters();
+  control::DecayRunTimes(now, this->run_times);
   while (!this->timeouts.empty() &&
          this->timeouts.begin()->first <= now.count) {
     const std::uint32_t id = this->timeouts.begin()->second;
