Carried roots: root requests beyond what the bound on repeats can pay for

Cause: while all targets of a service refuse 55% of their calls unrun, a chain of four calls there completes without repeats in 4% of cases; root requests that repeats cannot carry run upstream and end with 500.

Test: carried_roots_test.cc, in virtual time with the real repeat allowance, 60 s of refusals. Planned repeats stay within the bound of every window; the most urgent route completes within 0.01 of its share without limits.

Change: carried_roots.h; the repeats are one more capacity in UpdateShares, divided by priority among the limited classes. The most urgent route is never limited, and nothing is limited where the bound would no longer cover its repeats. refused_not_carried_total, event E641, refusals in the sums. Off by default (carry_roots = false): fewer root requests complete with it.

--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -125,7 +125,7 @@
        SettingSlot{&settings.decisions.share_step}},
       {"decisions", "exchange_ratio", "1.5", 0.0, 100.0,
        SettingSlot{&settings.decisions.exchange_ratio}},
-      {"decisions", "carry_roots", "true", 0.0, 1000000000000000.0,
+      {"decisions", "carry_roots", "false", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.carry_roots}},
       {"decisions", "queue_by_due", "true", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.queue_by_due}},
--- a/libs/control/include/almondlink/control/chain_admission.h
+++ b/libs/control/include/almondlink/control/chain_admission.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "almondlink/base/clock.h"
+#include "almondlink/control/carried_roots.h"
 #include "almondlink/control/chain_counts.h"
 #include "almondlink/control/demand_meter.h"
 #include "almondlink/control/route_exchange.h"
@@ -168,6 +169,10 @@
   std::string limiting_service;
   /// What the class gives up for less urgent ones, by their class.
   std::map<std::uint32_t, GivenShare> given;
+  /// Share of the root requests that is refused because repeats cannot carry
+  /// them (carried_roots.h), and the name of the service that refuses the most.
+  double not_carried = 0;
+  std::string refusing_service;
 };
 
 /// Calls of one route at one service, derived from the rates.
@@ -239,6 +244,14 @@
                   const std::map<std::uint32_t, RootTotals>& roots,
                   ChainAdmission& admission);
 
+/// The same, where root requests are limited also by the repeats that services
+/// with refusing targets leave for them, see carried_roots.h.
+void UpdateShares(const ChainRules& rules,
+                  const std::vector<ServiceCapacity>& services,
+                  const std::vector<RefusingService>& refusing,
+                  const std::map<std::uint32_t, RootTotals>& roots,
+                  ChainAdmission& admission);
+
 }  // namespace almondlink::control
 
 #endif  // ALMONDLINK_CONTROL_CHAIN_ADMISSION_H_
--- a/libs/control/include/almondlink/control/repeat_allowance.h
+++ b/libs/control/include/almondlink/control/repeat_allowance.h
@@ -154,6 +154,10 @@
 /// repeat.
 bool HasSharedCapacity(const RepeatRules& rules, const RepeatCounts& sums);
 
+/// Repeats that all nodes together use in a window, given the sums of their
+/// counts: the bound less what each node leaves unused.
+double PlannedRepeatBound(const RepeatRules& rules, const RepeatCounts& sums);
+
 /// Takes one repeat. Returns false if none is left for a request of this rank.
 /// Counts towards the demand in either case.
 bool TakeRepeat(const RepeatRules& rules,
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -288,6 +288,8 @@
   double share = 1;
   std::string limiting_service;
   std::map<std::uint32_t, GivenShare> given;
+  double not_carried = 0;
+  std::string refusing_service;
 };
 using RouteLimits = std::map<std::uint32_t, RouteLimit>;
 
@@ -296,6 +298,8 @@
   const std::string* service = nullptr;
   double capacity = 0;
   std::vector<RouteAllocation> routes;
+  /// The capacity is in repeats per second, see carried_roots.h.
+  bool is_repeats = false;
   bool is_allocated = false;
 };
 
@@ -331,6 +335,34 @@
   return allocation;
 }
 
+/// The repeats at a service, as a capacity that the limited classes share.
+ServiceAllocation MakeRepeatAllocation(
+    const RefusingService& refusing,
+    const std::map<std::uint32_t, RootTotals>& roots,
+    const ChainAdmission& admission) {
+  ServiceAllocation allocation;
+  allocation.service = &refusing.service;
+  allocation.capacity = refusing.repeats_per_s;
+  allocation.is_repeats = true;
+  for (const auto& [route, repeats] : refusing.repeats_per_root) {
+    const auto root = roots.find(route);
+    const auto known = admission.routes.find(route);
+    if (root == roots.end() || known == admission.routes.end()) {
+      continue;
+    }
+    RouteAllocation entry;
+    entry.route = route;
+    entry.priority = known->second.priority;
+    entry.route_priority = known->second.route_priority;
+    entry.account_priority = known->second.account_priority;
+    entry.slots_per_root = repeats;
+    entry.wanted_slots = root->second.offered_per_s * repeats;
+    entry.offered_slots = entry.wanted_slots;
+    allocation.routes.push_back(entry);
+  }
+  return allocation;
+}
+
 /// Demand divided by capacity, after the limits that other services impose on
 /// the routes.
 double OverloadRatio(const ServiceAllocation& service, RouteLimits& limits) {
@@ -500,6 +532,27 @@
   }
 }
 
+/// Divides repeats by priority alone. A minimum share would be spent on chains
+/// of which few complete.
+void AllocateRepeats(const ChainRules& rules, ServiceAllocation& repeats) {
+  ChainRules by_priority = rules;
+  by_priority.assured_fraction = 0;
+  AllocateCapacity(by_priority, repeats.capacity, repeats.routes);
+}
+
+/// Records what a capacity of repeats does not admit, see
+/// RouteShare::not_carried. `granted` is the admitted fraction of what the
+/// other services admit.
+void RecordNotCarried(double granted,
+                      const std::string& service,
+                      RouteLimit& limit) {
+  const double refused = limit.share * (1 - granted);
+  if (limit.refusing_service.empty() || refused > limit.not_carried) {
+    limit.refusing_service = service;
+  }
+  limit.not_carried += refused;
+}
+
 /// Divides the capacity of one service, with an exchange if one is allowed
 /// there. `has_exchange` tells whether a service allocated before has one, and
 /// is set if this one has: requests that are admitted because of an exchange
@@ -564,12 +617,20 @@
     for (RouteAllocation& entry : most_overloaded->routes) {
       entry.wanted_slots *= limits[entry.route].share;
     }
-    AllocateService(rules, roots, admission, *most_overloaded, limits,
-                    has_exchange);
+    if (most_overloaded->is_repeats) {
+      AllocateRepeats(rules, *most_overloaded);
+    } else {
+      AllocateService(rules, roots, admission, *most_overloaded, limits,
+                      has_exchange);
+    }
     for (const RouteAllocation& entry : most_overloaded->routes) {
       if (entry.granted < entry.wanted_slots) {
         RouteLimit& limit = limits[entry.route];
-        limit.share *= entry.granted / entry.wanted_slots;
+        const double granted = entry.granted / entry.wanted_slots;
+        if (most_overloaded->is_repeats) {
+          RecordNotCarried(granted, *most_overloaded->service, limit);
+        }
+        limit.share *= granted;
         limit.limiting_service = *most_overloaded->service;
       }
     }
@@ -582,12 +643,23 @@
                   const std::vector<ServiceCapacity>& services,
                   const std::map<std::uint32_t, RootTotals>& roots,
                   ChainAdmission& admission) {
+  UpdateShares(rules, services, {}, roots, admission);
+}
+
+void UpdateShares(const ChainRules& rules,
+                  const std::vector<ServiceCapacity>& services,
+                  const std::vector<RefusingService>& refusing,
+                  const std::map<std::uint32_t, RootTotals>& roots,
+                  ChainAdmission& admission) {
   std::vector<ServiceAllocation> allocations;
-  allocations.reserve(services.size());
+  allocations.reserve(services.size() + refusing.size());
   for (const ServiceCapacity& service : services) {
     allocations.push_back(
         MakeServiceAllocation(rules, service, roots, admission));
   }
+  for (const RefusingService& service : refusing) {
+    allocations.push_back(MakeRepeatAllocation(service, roots, admission));
+  }
   RouteLimits limits;
   AllocateServices(rules, roots, admission, allocations, limits);
   for (auto& [route, state] : admission.routes) {
@@ -598,6 +670,8 @@
     state.share += step * (limit.share - state.share);
     state.limiting_service = limit.limiting_service;
     state.given = limit.given;
+    state.not_carried = limit.not_carried;
+    state.refusing_service = limit.refusing_service;
     if (state.share >= kFullShare) {
       state.share = 1;
     }
--- a/libs/control/src/repeat_allowance.cc
+++ b/libs/control/src/repeat_allowance.cc
@@ -203,6 +203,13 @@
   return sums.repeats + 1 <= bound;
 }
 
+double PlannedRepeatBound(const RepeatRules& rules, const RepeatCounts& sums) {
+  const double requests = std::max(
+      {sums.requests, sums.requests_half_earlier, sums.requests_previous});
+  return rules.ratio * rules.usable_share * requests +
+         kFixedShare * rules.fixed;
+}
+
 bool TakeRepeat(const RepeatRules& rules,
                 double rank,
                 Millis now,
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "almondlink/control/carried_roots.h"
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/placement.h"
 #include "almondlink/control/repeat_allowance.h"
@@ -247,6 +248,12 @@
   void LogExchanges();
   void LogExchange(const control::ExchangePair& pair,
                    const control::GivenShare& given);
+  std::vector<control::RefusingService> RefusingServices(
+      Millis now,
+      const std::vector<control::ServiceCapacity>& services,
+      const std::map<std::uint32_t, control::RootTotals>& roots);
+  control::RepeatStock StockOf(Millis now, const std::string& service);
+  void LogRefusing(const std::vector<control::RefusingService>& refusing);
   /// Id of the request that made this call; empty for a root request.
   std::string ParentOf(const Call& call) const;
   /// A random number from 0 to below 1.
@@ -302,6 +309,9 @@
   RouteDecisionCounts route_decisions;
   /// Exchanges of slots as last logged.
   std::map<control::ExchangePair, control::GivenShare> logged_exchanges;
+  control::CarriedRoots carried_roots;
+  /// Refused fractions as last logged, by service.
+  std::map<std::string, double> logged_refusing;
   /// Callers that return, by class of root requests.
   std::map<std::uint32_t, ReturningState> returning;
   Millis returns_updated;
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -52,7 +52,9 @@
   /// larger fleet, loads are summed by groups, see control/load_sums.h.
   std::uint32_t direct_nodes = 128;
   /// Whether root requests that the repeat allowance cannot carry are refused.
-  bool carries_roots = true;
+  /// Off by default, since fewer root requests complete with it, see
+  /// docs/design/carried-roots.md.
+  bool carries_roots = false;
   /// Whether queued calls are run by their latest useful start.
   bool queues_by_due = true;
   /// Whether queued calls are returned while other targets have free slots.
--- a/libs/relay/include/almondlink/relay/route_decisions.h
+++ b/libs/relay/include/almondlink/relay/route_decisions.h
@@ -18,6 +18,9 @@
   /// the class that was served instead. A refusal that has several reasons
   /// counts for each in proportion to its part of the refused share.
   std::map<control::ExchangePair, double> refused_for_exchange;
+  /// Refused because the repeats that the bound permits cannot carry them, by
+  /// class.
+  std::map<std::uint32_t, double> refused_not_carried;
 };
 
 /// Appends the counts in the Prometheus text exposition format. `name_of` gives
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -176,7 +176,7 @@
   double ErrorRate() const;
 
   /// Adds what this target contributes to the sums of all nodes.
-  void AddDecisions(control::DecisionSums& sums) const;
+  void AddDecisions(control::DecisionSums& sums);
 
   /// Handles timeouts and updates the demand meter; call it every few tens of
   /// milliseconds.
@@ -245,6 +245,7 @@
   CallReason ReasonToReject(Millis now, const CallFrame& frame);
   CallReason ReasonOfLateCall(Millis now, const Call& call) const;
   bool IsPastDrain(Millis now) const;
+  void AddRefusals(Millis now, control::DecisionSums& sums);
 
   const HeaderNames& names;
   Millis drain;
@@ -293,6 +294,16 @@
   Millis last_sweep;
   control::RateMeter calls_of_runs;
   control::RateMeter started_runs;
+  /// Requests sent to the target and refused by it unrun, and the counters as
+  /// of the last update.
+  struct RefusalMeter {
+    control::RateMeter sent;
+    control::RateMeter refused;
+    std::uint64_t sent_before = 0;
+    std::uint64_t refused_before = 0;
+    Millis updated;
+  };
+  RefusalMeter refusal_meter;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -128,10 +128,14 @@
   for (auto& [service, capacity] : capacities) {
     services.push_back(std::move(capacity));
   }
-  control::UpdateShares(rules.admission, services, roots, this->admission);
+  const std::vector<control::RefusingService> refusing =
+      this->RefusingServices(now, services, roots);
+  control::UpdateShares(rules.admission, services, refusing, roots,
+                        this->admission);
   this->UpdateReturns(now, roots);
   this->LogShareChanges();
   this->LogExchanges();
+  this->LogRefusing(refusing);
 }
 
 /// Adds the nodes whose loads are summed.
--- a/libs/relay/src/entry/entry_route_decisions.cc
+++ b/libs/relay/src/entry/entry_route_decisions.cc
@@ -6,7 +6,8 @@
 #include "almondlink/relay/route_decisions.h"
 
 /// Counters and events of the decisions among classes of root requests:
-/// exchanges of slots (almondlink/control/route_exchange.h).
+/// exchanges of slots (almondlink/control/route_exchange.h), and root requests
+/// that repeats cannot carry (almondlink/control/carried_roots.h).
 namespace almondlink::relay {
 
 namespace {
@@ -32,6 +33,12 @@
                 MetricLabel("served", name_of(pair.second)),
             count);
   }
+  out.Begin("refused_not_carried_total", "counter",
+            "Root requests refused at entry because targets refuse calls of "
+            "their chains and the bound on repeats cannot carry them.");
+  for (const auto& [route, count] : counts.refused_not_carried) {
+    out.Add(MetricLabel("route", name_of(route)), count);
+  }
 }
 
 /// Counts a root request of the class that was refused at entry.
@@ -43,15 +50,19 @@
   const control::RouteShare& state = known->second;
   // Right after a change the share in force still refuses less than is given.
   double refused = std::max(kMinRefusedShare, 1 - state.share);
-  double given_in_all = 0;
+  double decided = state.not_carried;
   for (const auto& [served, given] : state.given) {
-    given_in_all += given.share;
+    decided += given.share;
   }
-  refused = std::max(refused, given_in_all);
+  refused = std::max(refused, decided);
   for (const auto& [served, given] : state.given) {
     this->route_decisions.refused_for_exchange[{route, served}] +=
         given.share / refused;
   }
+  if (state.not_carried > 0) {
+    this->route_decisions.refused_not_carried[route] +=
+        state.not_carried / refused;
+  }
 }
 
 void EntryCalls::LogExchange(const control::ExchangePair& pair,
