--- a/libs/control/tests/carried_roots_test.cc
+++ b/libs/control/tests/carried_roots_test.cc
@@ -301,6 +301,7 @@
     for (const RootRate& rate : LocalRootRates(this->admission)) {
       AddRootRate(rate, totals);
     }
+    counted.reserve(totals.size());
     for (const auto& [route, sum] : totals) {
       counted.push_back(
           {kService, route, CountedCallsPerRoot(sum, kService).value_or(0)});
