--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "almondlink/control/carried_roots.h"
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/placement.h"
 #include "almondlink/control/repeat_allowance.h"
@@ -30,6 +31,7 @@
 #include "almondlink/relay/quota_exchange.h"
 #include "almondlink/relay/relay_settings.h"
 #include "almondlink/relay/request_counts.h"
+#include "almondlink/relay/route_decisions.h"
 
 /// Handles the requests of callers on this host: routing, authentication,
 /// quota, admission, choice of target, repeats, and the answer.
@@ -142,6 +144,10 @@
   const AccountCounts& CountsByAccount() const { return this->account_counts; }
   /// Appends the numbers of callers that were told to return and that did.
   void WriteReturns(MetricText& out) const;
+  /// Root requests refused at entry for decisions among classes.
+  const RouteDecisionCounts& RouteDecisions() const {
+    return this->route_decisions;
+  }
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
@@ -273,6 +279,16 @@
                  std::map<std::string, control::ServiceCapacity>& capacities,
                  std::map<std::uint32_t, control::RootTotals>& roots);
   void LogShareChanges();
+  void CountRefusedClass(std::uint32_t route);
+  void LogExchanges();
+  void LogExchange(const control::ExchangePair& pair,
+                   const control::GivenShare& given);
+  std::vector<control::RefusingService> RefusingServices(
+      Millis now,
+      const std::vector<control::ServiceCapacity>& services,
+      const std::map<std::uint32_t, control::RootTotals>& roots);
+  control::RepeatStock StockOf(Millis now, const std::string& service);
+  void LogRefusing(const std::vector<control::RefusingService>& refusing);
   /// Id of the request that made this call; empty for a root request.
   std::string ParentOf(const Call& call) const;
   /// A random number from 0 to below 1.
@@ -341,6 +357,12 @@
   bool has_restored_counts = false;
   std::map<std::string, std::uint64_t> repeats_denied;
   std::map<std::string, std::uint64_t> refusals_by_service;
+  RouteDecisionCounts route_decisions;
+  /// Exchanges of slots as last logged.
+  std::map<control::ExchangePair, control::GivenShare> logged_exchanges;
+  control::CarriedRoots carried_roots;
+  /// Refused fractions as last logged, by service.
+  std::map<std::string, double> logged_refusing;
   /// Callers that return, by class of root requests.
   std::map<std::uint32_t, ReturningState> returning;
   Millis returns_updated;
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -58,6 +58,7 @@
   ++this->refusals_by_service[bound == this->admission.routes.end()
                                   ? std::string()
                                   : bound->second.limiting_service];
+  this->CountRefusedClass(call->info.root_route);
   call->is_refused_at_entry = true;
   if (call->id != 0) {
     this->Finish(call);
@@ -133,10 +134,15 @@
   for (auto& [service, capacity] : capacities) {
     services.push_back(std::move(capacity));
   }
-  control::UpdateShares(rules.admission, services, roots, this->admission);
+  const std::vector<control::RefusingService> refusing =
+      this->RefusingServices(now, services, roots);
+  control::UpdateShares(rules.admission, services, refusing, roots,
+                        this->admission);
   this->UpdateReturns(now, roots);
   this->UpdateAccountLevels(now);
   this->LogShareChanges();
+  this->LogExchanges();
+  this->LogRefusing(refusing);
 }
 
 /// Adds the nodes whose loads are summed.
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -140,6 +140,9 @@
   }
   WriteAccountCounts(this->entry.CountsByAccount(), out);
   this->entry.WriteReturns(out);
+  WriteRouteDecisions(
+      this->entry.RouteDecisions(),
+      [this](std::uint32_t key) { return this->entry.RouteName(key); }, out);
   out.Begin(
       "short_slot_seconds_total", "counter",
       "Slot time, available (there) and used, while requests were refused "
