Decision sums reach every node; queue order, moves and fit only where they are called for

Cause: totals were dropped on links that the aggregator had dialled (relay_queue_test, summed case), and nodes with an empty part got none. Change: totals pass on shared links, empty parts are reported every 2 s; the queue is ordered by due time only where routes exchange capacity; no moves and no fit within 5 s of a node's start, no fit at a service that is short; admission takes a measured speed only for a slow phase.

--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -194,9 +194,13 @@
   /// Where a service's targets refuse a part of their calls, no more root
   /// requests are admitted than the bound on repeats can complete.
   bool carry_roots;
-  /// Calls that wait for a slot are run by the latest time at which they can
-  /// still end in time; otherwise by priority, depth and arrival.
+  /// Where routes exchange capacity (see exchange_ratio), calls that wait for a
+  /// slot are run by the latest time at which they can still end in time;
+  /// otherwise by priority, depth and arrival.
   bool queue_by_due;
+  /// queue_by_due also holds at services where no routes exchange capacity (see
+  /// exchange_ratio).
+  bool queue_by_due_always;
   /// A call that waits at a target while others of its service have free slots
   /// is returned unrun and sent there.
   bool move_waiting;
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -129,6 +129,8 @@
        SettingSlot{&settings.decisions.carry_roots}},
       {"decisions", "queue_by_due", "true", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.queue_by_due}},
+      {"decisions", "queue_by_due_always", "false", 0.0, 1000000000000000.0,
+       SettingSlot{&settings.decisions.queue_by_due_always}},
       {"decisions", "move_waiting", "true", 0.0, 1000000000000000.0,
        SettingSlot{&settings.decisions.move_waiting}},
       {"decisions", "returning_first", "true", 0.0, 1000000000000000.0,
--- a/libs/control/src/chain_admission.cc
+++ b/libs/control/src/chain_admission.cc
@@ -31,6 +31,11 @@
 /// Maximum factor by which a target that is faster than the mean counts for
 /// more slots.
 constexpr double kMaxRelativeSpeed = 2.0;
+/// A measured speed counts in place of the mean times of completed runs only if
+/// it is below this part of theirs: the target is warming up or has become
+/// slow. Smaller differences are noise of the short window in which it is
+/// measured, and would let the capacity of a full service fluctuate.
+constexpr double kSlowPhaseFactor = 0.6;
 /// Iterations over the minimum share, which depends on the overall share and
 /// vice versa; each halves the remaining error.
 constexpr int kFloorRounds = 4;
@@ -140,9 +145,11 @@
   for (const TargetCapacity& target : service.targets) {
     const bool is_known = target.work_ms > 0 && mean_work_ms > 0;
     const double by_time = is_known ? mean_work_ms / target.work_ms : 1;
+    const double measured = target.speed / reference_speed;
+    const bool is_slow_phase =
+        target.speed > 0 && measured < kSlowPhaseFactor * by_time;
     const double speed =
-        std::min(kMaxRelativeSpeed,
-                 target.speed > 0 ? target.speed / reference_speed : by_time);
+        std::min(kMaxRelativeSpeed, is_slow_phase ? measured : by_time);
     const double excess_errors =
         ExcessErrorRate(target.error_rate,
                         (total_error_rate - target.error_rate) / other_targets);
--- a/libs/relay/include/almondlink/relay/decision_exchange.h
+++ b/libs/relay/include/almondlink/relay/decision_exchange.h
@@ -28,8 +28,8 @@
   DecisionExchange(const RelaySettings& settings, PeerTable& peers);
 
   /// Sends what is due. `make_own` builds the part of this node and is called
-  /// once per report; a part that is empty is reported once and then not until
-  /// there is something again. Call every 100 ms.
+  /// once per report; an empty part is reported more rarely, and totals without
+  /// content are sent once. Call every 100 ms.
   void Tick(Millis now, const std::function<control::DecisionSums()>& make_own);
 
   /// Handle frames; they return false if the payload cannot be decoded.
@@ -56,7 +56,10 @@
   /// none.
   PeerPointer reports_to;
   Millis last_report;
+  Millis reported_at;
   bool was_empty = true;
+  /// The totals that were sent last had no content.
+  bool was_total_empty = true;
   control::DecisionSums totals;
   Millis totals_at;
   control::DecisionAggregator aggregator;
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -148,6 +148,8 @@
   const RouteDecisionCounts& RouteDecisions() const {
     return this->route_decisions;
   }
+  /// Whether routes exchange capacity at the service, see route_exchange.h.
+  bool HasExchange(const std::string& service) const;
   /// Whether the service limits the admitted share of a route.
   bool IsBottleneck(const std::string& service) const;
 
@@ -191,6 +193,7 @@
   void Attempt(const CallPointer& call);
   bool HasUntriedTarget(const Call& call);
   PeerPointer ChoosePeer(const Call& call, bool is_among_refused);
+  bool HasRoomToFit(Millis now, const Call& call) const;
   void FitTargets(Millis now,
                   const Call& call,
                   const std::vector<PeerPointer>& members,
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -158,6 +158,7 @@
   ServedEvents MakeServedEvents();
   StateFrame MakeState();
   control::DecisionSums MakeDecisions();
+  void UpdateQueueOrder();
   // Return false if the frame is of a known type and cannot be decoded.
   bool OnCallFrame(const PeerLinkPointer& link, const RawFrame& frame);
   bool OnQuarantineFrame(const PeerLinkPointer& link, const RawFrame& frame);
--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -58,6 +58,8 @@
   bool carries_roots = false;
   /// Whether queued calls are run by their latest useful start.
   bool queues_by_due = true;
+  /// Whether they are also where no routes exchange capacity.
+  bool always_queues_by_due = false;
   /// Whether queued calls are returned while other targets have free slots.
   bool moves_waiting = true;
   /// Whether refused callers that return are admitted before new ones.
--- a/libs/relay/src/entry/entry_admission.cc
+++ b/libs/relay/src/entry/entry_admission.cc
@@ -67,6 +67,11 @@
   return false;
 }
 
+bool EntryCalls::HasExchange(const std::string& service) const {
+  const auto found = this->admission.exchanges.find(service);
+  return found != this->admission.exchanges.end() && !found->second.empty();
+}
+
 bool EntryCalls::IsBottleneck(const std::string& service) const {
   return std::any_of(this->admission.routes.begin(),
                      this->admission.routes.end(),
--- a/libs/relay/src/entry/entry_run_times.cc
+++ b/libs/relay/src/entry/entry_run_times.cc
@@ -14,6 +14,8 @@
 /// The target's own answer at the deadline.
 constexpr std::uint32_t kGatewayTimeout = 504;
 constexpr double kMicrosPerMilli = 1000;
+/// Time after the start of a node in which calls are placed by load alone.
+constexpr Millis kFitDelay{5000};
 /// Bounds on a speed that is derived from mean times. These also depend on
 /// which routes a target serves, so they are no evidence of more than this.
 constexpr double kMinDerivedSpeed = 0.4;
@@ -113,6 +115,15 @@
   return own == this->run_times.routes.end() ? nullptr : &own->second;
 }
 
+/// Whether the call can be placed by the chance to end late. At a service that
+/// is short of capacity there is no choice among targets, and right after a
+/// start the loads of the targets are not known yet: all calls would go to the
+/// fastest one.
+bool EntryCalls::HasRoomToFit(Millis now, const Call& call) const {
+  return now - this->started_at >= kFitDelay &&
+         !this->IsBottleneck(call.service);
+}
+
 /// Sets the speed of the targets and the chance that the call ends late there.
 /// Without the run times of the route, the choice is made without either.
 void EntryCalls::FitTargets(Millis now,
@@ -120,7 +131,8 @@
                             const std::vector<PeerPointer>& members,
                             std::vector<control::PlacementTarget>& views,
                             control::PlacementRules& rules) {
-  if (!this->settings.decisions.fits_targets) {
+  if (!this->settings.decisions.fits_targets ||
+      !this->HasRoomToFit(now, call)) {
     return;
   }
   const control::RunTimeHistogram* run_times =
--- a/libs/relay/src/exchange/decision_exchange.cc
+++ b/libs/relay/src/exchange/decision_exchange.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Interval of the reports of a node that has nothing to contribute. It still
+/// needs the totals, which only members of a group receive.
+constexpr Millis kEmptyReportInterval{2000};
+
 bool IsEmpty(const control::DecisionSums& sums) {
   return sums.refusals.empty() && sums.returns.empty() &&
          sums.account_demand.empty() && sums.run_times.empty() &&
@@ -45,11 +49,13 @@
 
 void DecisionExchange::Report(const control::DecisionSums& own, Millis now) {
   const bool is_empty = IsEmpty(own);
-  const bool is_needed = !is_empty || !this->was_empty;
+  const bool is_due = !is_empty || !this->was_empty ||
+                      now - this->reported_at >= kEmptyReportInterval;
   this->was_empty = is_empty;
-  if (!is_needed) {
+  if (!is_due) {
     return;
   }
+  this->reported_at = now;
   if (this->reports_to->is_self) {
     this->aggregator.members[this->reports_to->node.name] = {now, own};
     return;
@@ -74,11 +80,15 @@
     other->link->ScheduleFlush();
   }
   control::DecisionSums total = control::TotalDecisions(sums, this->aggregator);
+  const bool is_empty = IsEmpty(total);
+  const bool is_unchanged = is_empty && this->was_total_empty;
+  this->was_total_empty = is_empty;
   frame.clear();
   AppendDecisions(FrameType::kDecisionTotals, total, frame);
   for (const auto& [name, id] : this->member_links) {
     const PeerLinkPointer link = this->peers.FindAcceptedLink(id);
-    if (link != nullptr && this->aggregator.members.count(name) > 0) {
+    if (!is_unchanged && link != nullptr &&
+        this->aggregator.members.count(name) > 0) {
       link->OutputBuffer() += frame;
       link->ScheduleFlush();
     }
--- a/libs/relay/src/exchange/peer_state.cc
+++ b/libs/relay/src/exchange/peer_state.cc
@@ -185,6 +185,8 @@
     case FrameType::kQuotaLoan:
     case FrameType::kTrialResponse:
     case FrameType::kLoadTotals:
+    case FrameType::kDecisionTotals:
+    case FrameType::kAccountDemandTotal:
       return true;
     default:
       return false;
--- a/libs/relay/src/node_queue.cc
+++ b/libs/relay/src/node_queue.cc
@@ -13,11 +13,16 @@
 
 /// Minimum time between two events of the same kind about the queue.
 constexpr Millis kQueueLogInterval{10000};
+/// Time after the start of a node in which its queued calls stay.
+constexpr Millis kMoveDelay{5000};
 
 }  // namespace
 
 void RelayNode::MoveWaiting(Millis now) {
-  if (!this->settings.decisions.moves_waiting) {
+  // Right after a start the reported loads of the other targets are still
+  // empty, and all of them would seem to have free slots.
+  if (!this->settings.decisions.moves_waiting ||
+      now - this->started_at < kMoveDelay) {
     return;
   }
   this->served.MoveWaiting(now, this->LoadOfOtherTargets(now),
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -71,7 +71,6 @@
               }),
       tick_timer(loop_in) {
   this->served.SetTargetAddress(this->settings.target_address);
-  this->served.SetQueueOrder(this->settings.decisions.queues_by_due);
   this->served.SetTargetRules(this->MakeTargetRules());
   this->entry.Quarantine().SetConfirmationHandlers(this->hooks.on_confirmed,
                                                    this->hooks.on_cleared);
@@ -189,6 +188,17 @@
   return state;
 }
 
+/// Where routes exchange capacity, calls of a less urgent route are admitted on
+/// purpose, and by priority they would wait until their requests fail.
+/// Elsewhere the most urgent calls go first.
+void RelayNode::UpdateQueueOrder() {
+  const DecisionRules& rules = this->settings.decisions;
+  const std::string& service = this->served.Ledger().current.service;
+  this->served.SetQueueOrder(
+      rules.queues_by_due &&
+      (rules.always_queues_by_due || this->entry.HasExchange(service)));
+}
+
 control::DecisionSums RelayNode::MakeDecisions() {
   control::DecisionSums own;
   own.nodes = 1;
@@ -316,7 +326,6 @@
   this->settings.quotas = changed.quotas;
   this->settings.revoke_after = changed.revoke_after;
   this->settings.decisions = changed.decisions;
-  this->served.SetQueueOrder(changed.decisions.queues_by_due);
   this->served.SetTargetRules(this->MakeTargetRules());
   this->served.SetTargetAddress(changed.target_address);
 }
@@ -349,6 +358,7 @@
     }
     this->decisions.Tick(now, [this]() { return this->MakeDecisions(); });
     this->entry.UpdateAdmission(now);
+    this->UpdateQueueOrder();
     this->entry.Quotas().Tick(now);
     this->entry.Quarantine().Tick(now);
     this->AddSlotTime();
