--- a/test/process/relay_queue_test.cc
+++ b/test/process/relay_queue_test.cc
@@ -218,9 +218,11 @@
 // Guards against queued calls that outlive their link: they would run although
 // nobody waits for their answers, or hold places in the queue for good.
 TEST_CASE("slots and queue recover from a lost link") {
+  // None of the runs ends before the link is cut.
+  constexpr int kLongRunMs = 5000;
   RelayCluster cluster(31200, "queue-lost-link");
   cluster.UseProxies();
-  cluster.Add(SpecWith("i-0", "stock", 4, 1500));
+  cluster.Add(SpecWith("i-0", "stock", 4, kLongRunMs));
   cluster.Add(Spec("i-front", "front"));
   cluster.Configure(1, kRoutes);
   cluster.WaitReady();
