--- a/libs/relay/include/almondlink/relay/relay_settings.h
+++ b/libs/relay/include/almondlink/relay/relay_settings.h
@@ -61,7 +61,7 @@
   /// Whether they are also where no routes exchange capacity.
   bool always_queues_by_due = false;
   /// Whether queued calls are returned while other targets have free slots.
-  bool moves_waiting = true;
+  bool moves_waiting = false;
   /// Whether refused callers that return are admitted before new ones.
   bool admits_returning_first = true;
   control::ReturnRules returns;
@@ -72,7 +72,7 @@
   /// Whether a target that is warming up counts as slower.
   bool uses_warmup = true;
   /// Whether the usable share of a target's slots is learned.
-  bool learns_slots = true;
+  bool learns_slots = false;
   /// Whether calls leave their zone by its surplus.
   bool sums_zones = true;
 };
--- a/test/process/relay_queue_test.cc
+++ b/test/process/relay_queue_test.cc
@@ -93,7 +93,7 @@
 
   Fleet(int port, const std::string& name, const std::string& decisions = "")
       : cluster(port, name) {
-    this->cluster.SetDecisions(decisions);
+    this->cluster.SetDecisions("move_waiting = true\n" + decisions);
     for (int i = 0; i < kTargets; ++i) {
       this->cluster.Add(
           SpecWith("i-" + std::to_string(i), "stock", 8, kFirstRunMs));
--- a/test/process/relay_targets_test.cc
+++ b/test/process/relay_targets_test.cc
@@ -101,6 +101,7 @@
 
 TEST_CASE("a target that restarts under its id starts without learned state") {
   RelayCluster cluster(28450, "targets-reborn");
+  cluster.SetDecisions("learn_slots = true\n");
   cluster.Add(Target("i-a", 150, 1000));
   cluster.Add(Target("i-b", 50));
   cluster.Add(Spec("i-front", "front"));
