--- a/almondlink/explain_command.cc
+++ b/almondlink/explain_command.cc
@@ -42,7 +42,7 @@
     kEventUnknownKey.number,       kEventOverQuota.number,
     kEventOutcomeUnknown.number,   kEventAttemptFailed.number,
     kEventTargetCallFailed.number, kEventCallerLeft.number};
-/// What a node believed when it decided.
+/// What a node knew when it decided.
 constexpr std::array<std::uint32_t, 7> kBeliefs = {
     kEventShareChanged.number, kEventInstance.number,
     kEventStoreLost.number,    kEventTargetSetAside.number,
