--- a/libs/mesh/src/link_proof.h
+++ b/libs/mesh/src/link_proof.h
@@ -3,7 +3,9 @@
 
 #include <string>
 
+#include "almondlink/base/error.h"
 #include "almondlink/policy/signing.h"
+#include "almondlink/wire/messages.generated.h"
 
 namespace almondlink::mesh {
 
@@ -25,6 +27,32 @@
 constexpr const char* kDialRole = "dial";
 constexpr const char* kAcceptRole = "accept";
 
+/// The dialling side's proof, with the nonce for which the other side has to
+/// prove the key.
+inline wire::Hello MakeHello(const policy::DeploymentKey& key,
+                             const std::string& node,
+                             const policy::Bytes& own_nonce,
+                             const wire::Challenge& challenge) {
+  wire::Hello hello;
+  hello.node = node;
+  hello.nonce = own_nonce;
+  hello.mac = policy::Mac(key, ProofInput(kDialRole, challenge.nonce, node));
+  return hello;
+}
+
+/// Fails with kBadSignature if the accepting side has not proved the key for
+/// `own_nonce`.
+inline Result<void> CheckWelcome(const policy::DeploymentKey& key,
+                                 const policy::Bytes& own_nonce,
+                                 const wire::Welcome& welcome) {
+  const policy::Bytes input = ProofInput(kAcceptRole, own_nonce, welcome.node);
+  if (!policy::IsMac(key, input, welcome.mac)) {
+    return Fail(ErrorKind::kBadSignature,
+                "the peer does not hold the deployment key");
+  }
+  return {};
+}
+
 }  // namespace almondlink::mesh
 
 #endif  // ALMONDLINK_MESH_SRC_LINK_PROOF_H_
--- a/libs/mesh/src/peer_links.cc
+++ b/libs/mesh/src/peer_links.cc
@@ -231,26 +231,16 @@
     if (is_challenge) {
       BOOST_LEAF_AUTO(challenge, wire::DecodeChallenge(data, size));
       link->nonce = policy::RandomBytes(kNonceBytes);
-      wire::Hello hello;
-      hello.node = this->config.node.Value();
-      hello.nonce = link->nonce;
-      hello.mac = policy::Mac(
-          this->config.key,
-          ProofInput(kDialRole, challenge.nonce, this->config.node.Value()));
-      this->Write(*link, wire::Encode(std::move(hello)));
+      this->Write(*link, wire::Encode(MakeHello(this->config.key,
+                                                this->config.node.Value(),
+                                                link->nonce, challenge)));
       return {};
     }
     if (tag != wire::Tag::kWelcome) {
       return Fail(ErrorKind::kBadMessage, "the peer did not prove the key");
     }
     BOOST_LEAF_AUTO(welcome, wire::DecodeWelcome(data, size));
-    const bool is_right = policy::IsMac(
-        this->config.key, ProofInput(kAcceptRole, link->nonce, welcome.node),
-        welcome.mac);
-    if (!is_right) {
-      return Fail(ErrorKind::kBadSignature,
-                  "the peer does not hold the deployment key");
-    }
+    BOOST_LEAF_CHECK(CheckWelcome(this->config.key, link->nonce, welcome));
     link->state = LinkState::kOpen;
     LogEvent(kEventLinkOpen, {{"peer", welcome.node}});
     this->Flush(*link);
