Waits for peers and targets do not count the time in which the loop did not run

Seen by callers: 504 outcome-unknown target-timeout for a request that the target had run and answered, after a host stood still past the deadline.

Cause: the wait of the entry node for the target's node, and that of the target's node for its target, are timers of monotonic time. When the processes of a host go on after a stall the timers are due at once, while the answer still has a link to cross or its last millisecond of work to do.

Ruled out: surplus bytes and reuse of a connection (60,000 requests, 24,000 beside 24 busy processes, none wrong).

Change: both waits are measured on a clock that stops with the loop (libs/base, running_clock.h); a timer that goes off is set again for what is left. Samples of run times leave stalls out. E105 loop-stalled tells of each stall.

--- a/almondlinkd/entry_call.h
+++ b/almondlinkd/entry_call.h
@@ -41,6 +41,7 @@
   // The attempt that is out.
   std::string target_node;
   std::uint32_t lent = 0;
+  /// On the running clock.
   LatencyMs sent;
   std::optional<mesh::CallId> out;
   std::unique_ptr<boost::asio::steady_timer> timer;
--- a/almondlinkd/entry_sends.cc
+++ b/almondlinkd/entry_sends.cc
@@ -84,7 +84,7 @@
   entry->tried.push_back(route.node);
   entry->target_node = route.node;
   entry->lent = this->LendGrant(*entry);
-  entry->sent = PreciseNow();
+  entry->sent = this->links.RunningNow();
   entry->out = this->links.Send(
       route.address, MakeCall(*entry, left), left + kAnswerGrace,
       [weak = this->weak_from_this(), entry](wire::Answer answer) {
@@ -100,8 +100,9 @@
     return;
   }
   entry->out.reset();
+  const LatencyMs took{this->links.RunningNow().count - entry->sent.count};
   this->views.Learn(entry->call.operation->service.Value(), entry->target_node,
-                    entry->sent, answer);
+                    took, answer);
   this->TakeBackGrant(*entry, answer.grant_back);
   entry->attempts_below += answer.attempts > 0 ? answer.attempts - 1 : 0;
   this->NoteDownstream(*entry, answer);
--- a/almondlinkd/target_call.h
+++ b/almondlinkd/target_call.h
@@ -23,6 +23,7 @@
   bool is_on_trial = false;
   SpanId span{0};
   server::TargetCallId at_target{0};
+  /// On the running clock.
   LatencyMs sent;
 };
 
--- a/almondlinkd/target_side.cc
+++ b/almondlinkd/target_side.cc
@@ -239,7 +239,7 @@
     ++this->dispatched;
     target_call->is_dispatched = true;
     target_call->span = *span;
-    target_call->sent = PreciseNow();
+    target_call->sent = this->client.RunningNow();
     target_call->at_target = this->client.Send(
         MakeRequest(*target_call),
         [weak = this->weak_from_this(), ticket](server::TargetAnswer answer) {
@@ -301,7 +301,8 @@
                {{"dropped", std::to_string(result.foreign)},
                 {"error", AnswerFor(result.error).name}});
     }
-    const LatencyMs took{PreciseNow().count - target_call->sent.count};
+    const LatencyMs took{this->client.RunningNow().count -
+                         target_call->sent.count};
     wire::Answer answer = MakeAnswer(std::move(result));
     answer.target_us = static_cast<std::uint64_t>(took.count * kMicrosPerMilli);
     EndWork(*target_call, this->shared.work, answer);
--- a/almondlinkd/target_views.cc
+++ b/almondlinkd/target_views.cc
@@ -90,7 +90,7 @@
 
 void TargetViews::Learn(const std::string& service,
                         const std::string& node,
-                        LatencyMs sent,
+                        LatencyMs took,
                         const wire::Answer& answer) {
   const std::optional<std::size_t> place = this->Find(service, node);
   if (!place.has_value()) {
@@ -117,7 +117,7 @@
     view.is_draining = answer.is_draining;
   }
   if (kind == ErrorKind::kNone && answer.status < kServerErrors) {
-    control::RecordLatency(LatencyMs{PreciseNow().count - sent.count}, view);
+    control::RecordLatency(took, view);
   }
 }
 
--- a/almondlinkd/target_views.h
+++ b/almondlinkd/target_views.h
@@ -42,10 +42,11 @@
   /// A call is sent to the target.
   void NoteSent(Millis now, control::TargetView& view) const;
 
-  /// Learns from the answer to a call that `node` got at `sent`.
+  /// Learns from the answer to a call that was sent to `node`. `took` is the
+  /// time until the answer, without stalls of this node.
   void Learn(const std::string& service,
              const std::string& node,
-             LatencyMs sent,
+             LatencyMs took,
              const wire::Answer& answer);
 
   /// A call to the target ended without anything to learn from.
--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -19,6 +19,11 @@
 /// Work was in flight past the longest deadline.
 constexpr Event kEventDrainForced{104, Level::kWarning, "drain-forced",
                                   Volume::kRare};
+/// A loop that waits for other nodes did not run for `ms` milliseconds: the
+/// process was suspended or got no processor time. That time is not counted
+/// against the peers. Each loop reports its own.
+constexpr Event kEventLoopStalled{105, Level::kWarning, "loop-stalled",
+                                  Volume::kRare};
 /// A version came into force, from the log or from a peer.
 constexpr Event kEventBundleInForce{200, Level::kInfo, "bundle-in-force",
                                     Volume::kRare};
--- a/libs/mesh/include/almondlink/mesh/peer_links.h
+++ b/libs/mesh/include/almondlink/mesh/peer_links.h
@@ -44,8 +44,10 @@
 /// needed. Calls are multiplexed; correlation ids are never used again, so a
 /// late answer finds nobody and is dropped. A link that may have gone silent is
 /// replaced in two steps: first new calls go over a new link, and only later
-/// are the calls on the old one given up, since it may just be slow. All
-/// methods are called on the thread of the loop.
+/// are the calls on the old one given up, since it may just be slow. Timeouts
+/// do not count the time in which the loop did not run, see
+/// almondlink/base/running_clock.h. All methods are called on the thread of the
+/// loop.
 class PeerLinks {
  public:
   PeerLinks(boost::asio::io_context& loop, const PeerLinksConfig& config);
@@ -54,6 +56,7 @@
   PeerLinks& operator=(const PeerLinks&) = delete;
 
   /// Sends a call to the node at `address` (`ip:port`). Sets the call's id.
+  /// `timeout` is running time.
   CallId Send(const std::string& address,
               wire::Call call,
               Millis timeout,
@@ -75,6 +78,9 @@
   std::size_t LinkCount() const;
   /// Answers that came after their call had been given up.
   std::uint64_t LateAnswers() const;
+  /// For samples of the time that calls take: a stall of the loop is not time
+  /// that a peer took.
+  LatencyMs RunningNow();
 
  private:
   class Impl;
--- a/libs/mesh/src/outgoing_link.h
+++ b/libs/mesh/src/outgoing_link.h
@@ -63,6 +63,8 @@
   bool is_sent = false;
   AnswerHandler on_answer;
   StateHandler on_state;
+  /// On the running clock.
+  Millis deadline;
   std::unique_ptr<boost::asio::steady_timer> timer;
 };
 
--- a/libs/mesh/src/peer_links.cc
+++ b/libs/mesh/src/peer_links.cc
@@ -8,17 +8,13 @@
 #include <vector>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/base/running_clock.h"
 #include "link_proof.h"
+#include "observed_clock.h"
 #include "outgoing_link.h"
 
 namespace almondlink::mesh {
 
-namespace {
-
-constexpr Millis kCheckInterval{50};
-
-}  // namespace
-
 class PeerLinks::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& loop, const PeerLinksConfig& config)
@@ -28,6 +24,7 @@
     this->endpoint.init_asio(&loop);
     this->endpoint.set_max_message_size(config.max_message);
     this->endpoint.set_open_handshake_timeout(config.connect_timeout.count);
+    StartRunningClock(MonotonicNow(), this->clock);
   }
 
   /// Second step of construction: needs shared_from_this.
@@ -83,6 +80,7 @@
 
   std::size_t LinkCount() const { return this->links.size(); }
   std::uint64_t LateAnswers() const { return this->late_answers; }
+  LatencyMs PreciseRunningNow() { return PreciseNowOn(this->clock); }
 
  private:
   void Enqueue(std::uint64_t id,
@@ -92,15 +90,9 @@
                Pending pending) {
     const LinkPointer link = this->LinkTo(address);
     pending.link = link;
-    pending.timer = std::make_unique<boost::asio::steady_timer>(
-        this->loop, std::chrono::milliseconds(timeout.count));
-    pending.timer->async_wait(
-        [weak = this->weak_from_this(), id](boost::system::error_code error) {
-          const std::shared_ptr<Impl> self = weak.lock();
-          if (!error && self != nullptr) {
-            self->OnTimeout(id);
-          }
-        });
+    pending.deadline = NowOn(this->clock) + timeout;
+    pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
+    this->StartTimer(id, timeout, *pending.timer);
     ++link->out;
     link->last_used = MonotonicNow();
     Pending& stored =
@@ -113,6 +105,19 @@
     }
   }
 
+  void StartTimer(std::uint64_t id,
+                  Millis wait,
+                  boost::asio::steady_timer& timer) {
+    timer.expires_after(std::chrono::milliseconds(wait.count));
+    timer.async_wait(
+        [weak = this->weak_from_this(), id](boost::system::error_code error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (!error && self != nullptr) {
+            self->OnTimer(id);
+          }
+        });
+  }
+
   LinkPointer LinkTo(const std::string& address) {
     const auto found = this->links.find(address);
     if (found != this->links.end()) {
@@ -293,11 +298,18 @@
     }
   }
 
-  void OnTimeout(std::uint64_t id) {
+  /// Ends an entry whose time is over, but for the time in which this loop did
+  /// not run.
+  void OnTimer(std::uint64_t id) {
     const auto found = this->pending.find(id);
     if (found == this->pending.end()) {
       return;
     }
+    const Millis left = found->second.deadline - NowOn(this->clock);
+    if (left > Millis{0}) {
+      this->StartTimer(id, left, *found->second.timer);
+      return;
+    }
     const bool is_sent = found->second.is_sent;
     this->FailPending(
         id, is_sent ? ErrorKind::kTargetTimeout : ErrorKind::kPeerUnreachable);
@@ -368,7 +380,7 @@
 
   void ScheduleCheck() {
     this->check_timer.expires_after(
-        std::chrono::milliseconds(kCheckInterval.count));
+        std::chrono::milliseconds(kRunningClockInterval.count));
     this->check_timer.async_wait(
         [weak = this->weak_from_this()](boost::system::error_code error) {
           const std::shared_ptr<Impl> self = weak.lock();
@@ -389,6 +401,7 @@
   }
 
   void CheckLinks() {
+    NowOn(this->clock);
     const Millis now = MonotonicNow();
     for (const LinkPointer& link : this->AllLinks()) {
       this->CheckLink(now, link);
@@ -438,6 +451,7 @@
   const PeerLinksConfig config;
   Endpoint endpoint;
   boost::asio::steady_timer check_timer;
+  RunningClock clock;
   bool is_closing = false;
   std::uint64_t last_id = 0;
   std::uint64_t late_answers = 0;
@@ -487,4 +501,8 @@
   return this->impl->LateAnswers();
 }
 
+LatencyMs PeerLinks::RunningNow() {
+  return this->impl->PreciseRunningNow();
+}
+
 }  // namespace almondlink::mesh
--- a/libs/server/include/almondlink/server/target_client.h
+++ b/libs/server/include/almondlink/server/target_client.h
@@ -21,6 +21,7 @@
   std::string target;
   Headers headers;
   Body body;
+  /// Running time, see almondlink/base/running_clock.h.
   Millis timeout{1000};
   /// At-most-once requests go on a connection of their own.
   bool needs_fresh_connection = false;
@@ -88,6 +89,10 @@
 
   TargetClientCounts Counts() const;
 
+  /// For samples of the time that requests take: a stall of the loop is not
+  /// time that the target took.
+  LatencyMs RunningNow();
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl;
--- a/libs/server/src/target_client.cc
+++ b/libs/server/src/target_client.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/base/running_clock.h"
 #include "answer_reader.h"
 #include "beast_http.h"
 
@@ -51,6 +52,8 @@
   ConnectionPointer connection;
   asio::steady_timer timer;
   Millis timeout;
+  /// On the running clock.
+  Millis deadline;
   /// From here on the target may have run the request.
   bool is_handed_over = false;
   bool is_written = false;
@@ -76,6 +79,7 @@
  public:
   Impl(asio::io_context& loop, const TargetClientConfig& config)
       : loop(loop),
+        reading_timer(loop),
         config(config),
         where(asio::ip::make_address(config.address.ip), config.address.port) {}
 
@@ -90,6 +94,8 @@
     exchange->request.set(kAttemptIdHeader, MakeAttemptId());
     // Told, a target need not keep a connection that is not used again.
     exchange->request.keep_alive(this->returns_id || this->config.needs_no_id);
+    this->StartReadings();
+    exchange->deadline = this->RunningNow() + exchange->timeout;
     this->exchanges[exchange->id] = exchange;
     this->StartTimer(exchange, exchange->timeout);
     this->Start(exchange);
@@ -110,9 +116,14 @@
 
   std::size_t ConnectionCount() const { return this->connections; }
   TargetClientCounts Counts() const { return this->counts; }
+  LatencyMs PreciseRunningNow() {
+    this->StartReadings();
+    return ReadRunningClock(PreciseNow(), this->clock);
+  }
 
   void Close() {
     this->is_closed = true;
+    this->reading_timer.cancel();
     for (const auto& [id, exchange] : this->exchanges) {
       exchange->timer.cancel();
       this->Discard(exchange);
@@ -143,18 +154,58 @@
     return this->exchanges.count(exchange->id) != 0;
   }
 
-  void StartTimer(const ExchangePointer& exchange, Millis timeout) {
-    exchange->timer.expires_after(std::chrono::milliseconds(timeout.count));
+  Millis RunningNow() { return ReadRunningClock(MonotonicNow(), this->clock); }
+
+  /// Starts the clock and reads it at its interval for as long as requests are
+  /// out.
+  void StartReadings() {
+    if (!this->is_reading) {
+      this->is_reading = true;
+      StartRunningClock(MonotonicNow(), this->clock);
+      this->ScheduleReading();
+    }
+  }
+
+  void ScheduleReading() {
+    this->reading_timer.expires_after(
+        std::chrono::milliseconds(kRunningClockInterval.count));
+    this->reading_timer.async_wait(
+        [weak = this->weak_from_this()](beast::error_code error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (error || self == nullptr) {
+            return;
+          }
+          self->is_reading = !self->exchanges.empty();
+          if (self->is_reading) {
+            self->RunningNow();
+            self->ScheduleReading();
+          }
+        });
+  }
+
+  void StartTimer(const ExchangePointer& exchange, Millis wait) {
+    exchange->timer.expires_after(std::chrono::milliseconds(wait.count));
     exchange->timer.async_wait(
         [self = this->shared_from_this(), exchange](beast::error_code error) {
           if (!error && self->IsLive(exchange)) {
-            self->Finish(exchange, exchange->is_handed_over
-                                       ? ErrorKind::kTargetTimeout
-                                       : ErrorKind::kConnectFailed);
+            self->OnTimer(exchange);
           }
         });
   }
 
+  /// Ends an exchange whose time is over, but for the time in which this loop
+  /// did not run.
+  void OnTimer(const ExchangePointer& exchange) {
+    const Millis left = exchange->deadline - this->RunningNow();
+    if (left > Millis{0}) {
+      this->StartTimer(exchange, left);
+      return;
+    }
+    this->Finish(exchange, exchange->is_handed_over
+                               ? ErrorKind::kTargetTimeout
+                               : ErrorKind::kConnectFailed);
+  }
+
   void Start(const ExchangePointer& exchange) {
     while (!exchange->is_fresh_needed && !this->idle.empty()) {
       const ConnectionPointer connection = this->idle.back();
@@ -377,6 +428,9 @@
   }
 
   asio::io_context& loop;
+  RunningClock clock;
+  asio::steady_timer reading_timer;
+  bool is_reading = false;
   const TargetClientConfig config;
   const tcp::endpoint where;
   std::uint64_t last_id = 0;
@@ -415,4 +469,8 @@
   return this->impl->Counts();
 }
 
+LatencyMs TargetClient::RunningNow() {
+  return this->impl->PreciseRunningNow();
+}
+
 }  // namespace almondlink::server
--- a/libs/server/tests/target_client_test.cc
+++ b/libs/server/tests/target_client_test.cc
@@ -226,6 +226,53 @@
   }
 }
 
+TEST_CASE("a target has its whole time while the loop runs") {
+  // The loop stands still past the time limit. The answer comes only once it
+  // runs again, or never.
+  constexpr Millis kTimeout{1000};
+  constexpr std::chrono::milliseconds kStall{1500};
+  constexpr int kAnswerAfterMs = 1600;
+  for (const bool is_silent : {false, true}) {
+    INFO("silent " << is_silent);
+    asio::io_context loop;
+    Script script;
+    script.pause_ms = kAnswerAfterMs;
+    script.surplus =
+        is_silent ? "" : Whole("first", "Almondlink-Attempt-Id: %ID\r\n");
+    ScriptedTarget target(script);
+    TargetClientConfig config;
+    config.address = {"127.0.0.1", kPort};
+    TargetClient client(loop, config);
+    TargetRequest request;
+    request.method = "GET";
+    request.target = "/first";
+    request.timeout = kTimeout;
+    TargetAnswer answer;
+    bool is_answered = false;
+    const LatencyMs sent = client.RunningNow();
+    double took = 0;
+    client.Send(std::move(request), [&](TargetAnswer result) {
+      answer = std::move(result);
+      took = client.RunningNow().count - sent.count;
+      is_answered = true;
+    });
+    while (target.requests == 0) {
+      loop.restart();
+      loop.run_for(std::chrono::milliseconds(1));
+    }
+    std::this_thread::sleep_for(kStall);
+    while (!is_answered) {
+      loop.restart();
+      loop.run_one();
+    }
+    CHECK(answer.error ==
+          (is_silent ? ErrorKind::kTargetTimeout : ErrorKind::kNone));
+    CHECK(BodyOf(answer) == (is_silent ? "" : "first"));
+    // The stall is not time that the target took.
+    CHECK((took < static_cast<double>(kTimeout.count)) == !is_silent);
+  }
+}
+
 TEST_CASE("ids keep a connection, an answer without one ends it") {
   for (const bool returns_ids : {true, false}) {
     for (const bool needs_no_id : {true, false}) {
