Links are not called silent for the time in which their own node did not run

Seen by callers: 502 outcome-unknown peer-lost for calls whose deadline had not passed, after a host stood still for a second.

Cause: the age of an open ping is monotonic time, and the check that is due when the node goes on runs before the reply is read.

Change: the times of links are on the running clock.

--- a/libs/mesh/src/outgoing_link.h
+++ b/libs/mesh/src/outgoing_link.h
@@ -23,7 +23,8 @@
 
 enum class LinkState { kConnecting, kProving, kOpen, kClosed };
 
-/// One outgoing link. Messages wait in `backlog` until it is open.
+/// One outgoing link. Messages wait in `backlog` until it is open. Its times
+/// are on the running clock of its loop.
 struct Link {
   std::string address;
   LinkState state = LinkState::kConnecting;
--- a/libs/mesh/src/peer_links.cc
+++ b/libs/mesh/src/peer_links.cc
@@ -94,7 +94,7 @@
     pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
     this->StartTimer(id, timeout, *pending.timer);
     ++link->out;
-    link->last_used = MonotonicNow();
+    link->last_used = NowOn(this->clock);
     Pending& stored =
         this->pending.emplace(id, std::move(pending)).first->second;
     if (link->state == LinkState::kOpen) {
@@ -125,7 +125,7 @@
     }
     LinkPointer link = std::make_shared<Link>();
     link->address = address;
-    link->started = MonotonicNow();
+    link->started = NowOn(this->clock);
     link->last_received = link->started;
     link->last_used = link->started;
     this->links.emplace(address, link);
@@ -162,10 +162,13 @@
         self->Drop(link, "closed by the peer", 0);
       }
     });
-    connection->set_pong_handler([link](const Handle&, const std::string&) {
-      link->last_received = MonotonicNow();
-      link->is_pinged = false;
-    });
+    connection->set_pong_handler(
+        [weak, link](const Handle&, const std::string&) {
+          if (const std::shared_ptr<Impl> self = weak.lock()) {
+            link->last_received = NowOn(self->clock);
+            link->is_pinged = false;
+          }
+        });
     connection->set_message_handler(
         [weak, link](const Handle&, const MessagePointer& message) {
           if (const std::shared_ptr<Impl> self = weak.lock()) {
@@ -186,11 +189,11 @@
     connection->get_raw_socket().set_option(
         boost::asio::ip::tcp::no_delay(true), ignored);
     link.state = LinkState::kProving;
-    link.last_received = MonotonicNow();
+    link.last_received = NowOn(this->clock);
   }
 
   void OnMessage(const LinkPointer& link, const std::string& payload) {
-    link->last_received = MonotonicNow();
+    link->last_received = NowOn(this->clock);
     link->is_pinged = false;
     const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
     HandleFailure(
@@ -401,8 +404,7 @@
   }
 
   void CheckLinks() {
-    NowOn(this->clock);
-    const Millis now = MonotonicNow();
+    const Millis now = NowOn(this->clock);
     for (const LinkPointer& link : this->AllLinks()) {
       this->CheckLink(now, link);
     }
--- a/test/process/stall_test.cc
+++ b/test/process/stall_test.cc
@@ -11,8 +11,9 @@
 #include "test/support/cluster.h"
 
 /// Guards against a node that takes its own stall for a peer's silence: a host
-/// that stands still past the deadline of a call and goes on. What was answered
-/// meanwhile, or is about to be, has to reach its caller.
+/// that stands still past the deadline of a call, or past the time limit of a
+/// link, and goes on. What was answered meanwhile, or is about to be, has to
+/// reach its caller.
 namespace almondlink::test {
 namespace {
 
@@ -119,6 +120,23 @@
   }
 }
 
+TEST_CASE("a link is not called silent for the time its own node stood still") {
+  StalledShop shop(31540, "stall-link");
+  shop.cluster.SetTargetFault(*shop.shop, "slow=200");
+  for (int round = 0; round < 3; ++round) {
+    INFO("round " << round);
+    const PlainRequest request = shop.Next("2000");
+    const PlainAnswer answer = shop.CallWith(request, [&]() {
+      // The entry node asks the other one whether it lives, and then stands
+      // still for longer than the question may stay open.
+      shop.ShopNode().Signal(SIGSTOP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      Stall({&shop.EntryNode(), &shop.ShopNode()});
+    });
+    RequireOwnAnswer(request, answer);
+  }
+}
+
 TEST_CASE("a target that never answers is told after a stall, too") {
   StalledShop shop(31560, "stall-silent");
   shop.cluster.SetTargetFault(*shop.shop, "silent");
