--- a/libs/server/tests/target_client_test.cc
+++ b/libs/server/tests/target_client_test.cc
@@ -270,6 +270,7 @@
     CHECK(BodyOf(answer) == (is_silent ? "" : "first"));
     // The stall is not time that the target took. Deadlines are whole
     // milliseconds, so a time limit may end up to one of them early.
+    CAPTURE(took);
     const double limit = static_cast<double>(kTimeout.count);
     CHECK((is_silent ? took > limit - 1 : took < limit));
   }
