Review case 2: a link that stays full keeps all that was sent in the node's memory

PeerLink drops sent bytes only when its output is empty. A burst of downloads that fills the machine's network link lets the node grow by the rate of the link until the platform kills it, and requests of other clients end with a closed connection. review/2/run.sh shows it; with TROUBLE=0 it holds.

--- a/review/2/large_upload.cc
+++ b/review/2/full_link.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -6,10 +7,10 @@
 
 #include "review/common/deployment.h"
 
-/// One client uploads a body that is within the limits of the configuration.
-/// The platform kills a process that exceeds its memory; requests of other
-/// clients on kept connections, which sound instances run, must still be
-/// answered.
+/// Many users come at once and fetch long answers of an instance, so that the
+/// network link of its machine is fully used for some seconds. The platform
+/// kills a process that exceeds its memory; requests of the clients on that
+/// machine, which a sound instance elsewhere runs, must still be answered.
 namespace almondlink::review {
 
 namespace {
@@ -18,16 +19,22 @@
 constexpr std::int64_t kMemoryKb = 160 * 1024;
 constexpr std::int64_t kCheckMs = 2;
 constexpr std::int64_t kRestartDelayMs = 500;
-/// Below the limit of 67,108,864 bytes.
-constexpr std::size_t kUploadSize = 62'000'000;
-constexpr std::size_t kSmallUploadSize = 60'000;
+/// Rate of the machine's network link.
+constexpr double kLinkMbps = 200;
+/// Fetches a second and their size: 0.6 of the link, and more than it for the
+/// time of the burst.
+constexpr double kFetchesPerS = 15;
+constexpr double kBurst = 1.8;
+constexpr std::int64_t kBurstAtMs = 3000;
+constexpr std::int64_t kBurstMs = 14'000;
+constexpr std::size_t kFetchSize = 1'000'000;
+constexpr std::size_t kFetchPart = 50'000;
+constexpr std::int64_t kFetchDeadlineMs = 5000;
 constexpr int kClients = 10;
 constexpr std::int64_t kWorkMs = 200;
 constexpr std::int64_t kDeadlineMs = 2500;
-constexpr std::int64_t kUploadDeadlineMs = 4000;
 constexpr std::int64_t kRetryPauseMs = 250;
-constexpr std::int64_t kUploadAtMs = 2000;
-constexpr std::int64_t kTrafficMs = 6000;
+constexpr std::int64_t kTrafficMs = 18'000;
 /// The rule allows three.
 constexpr int kAllowed = 3;
 
@@ -37,24 +44,16 @@
   std::set<std::string> begun;
 };
 
-/// Reads each request to its end, works, and answers.
+/// Works and answers: a fetch with a long body, another request with a short
+/// one.
 void Serve(Socket& socket, const Machine& machine, Runs& runs) {
+  const std::string part(kFetchPart, 'd');
   while (true) {
     Head head;
     if (!ReadHead(socket, "", 60'000, head)) {
       return;
     }
     const std::string id = head.Field("request-id");
-    const std::string length = head.Field("content-length");
-    const std::size_t size = length.empty() ? 0 : std::stoul(length);
-    std::size_t received = head.rest.size();
-    while (received < size) {
-      std::string part;
-      if (socket.Receive(part, kUploadDeadlineMs) <= 0) {
-        return;
-      }
-      received += part.size();
-    }
     if (head.Field("target-instance") != machine.instance_id) {
       socket.Send("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " +
                   machine.instance_id + "\r\nContent-Length: 0\r\n\r\n");
@@ -65,7 +64,18 @@
       runs.begun.insert(id);
     }
     SleepMs(kWorkMs);
-    socket.Send(MakeSuccess(id, "Content-Length: 4\r\n") + "done");
+    const bool is_fetch = head.start_line.rfind("GET ", 0) == 0;
+    const std::size_t size = is_fetch ? kFetchSize : kFetchPart / 100;
+    bool is_open = socket.Send(MakeSuccess(
+        id, Join({"Content-Length: ", std::to_string(size), "\r\n"})));
+    for (std::size_t sent = 0; is_open && sent < size;) {
+      const std::size_t next = std::min(kFetchPart, size - sent);
+      is_open = socket.Send(part.substr(0, next), kFetchDeadlineMs);
+      sent += next;
+    }
+    if (!is_open) {
+      return;
+    }
   }
 }
 
@@ -75,10 +85,12 @@
   std::atomic<int> refused{0};
   std::atomic<int> lost{0};
   std::atomic<int> closed_unrun{0};
+  std::atomic<int> fetched{0};
+  std::atomic<int> not_fetched{0};
 };
 
 /// One client that sends a request after the other on one connection.
-void SendRequests(const Machine& entry,
+void SendRequests(const Machine& machine,
                   int client,
                   std::int64_t until,
                   Runs& runs,
@@ -88,7 +100,7 @@
   bool is_kept = false;
   for (int i = 0; NowMs() < until; ++i) {
     if (!socket.IsOpen()) {
-      socket = Socket::Connect(entry.ip, kOutboundPort);
+      socket = Socket::Connect(machine.ip, kOutboundPort);
       is_kept = false;
     }
     if (!socket.IsOpen()) {
@@ -96,8 +108,8 @@
       continue;
     }
     const std::string id = "req" + std::to_string(1000 * client + i);
-    socket.Send(MakeRequest("POST", "records.example", "/consent/" + id, id,
-                            kDeadlineMs, "consent"));
+    socket.Send(MakeRequest("POST", "grants.example", "/release/" + id, id,
+                            kDeadlineMs, "release"));
     const Answer answer = ReadAnswer(socket, NowMs() + kDeadlineMs);
     const bool is_answered = answer.end == AnswerEnd::kComplete;
     counts.answered += is_answered && answer.status == 200 ? 1 : 0;
@@ -148,25 +160,57 @@
   }
 }
 
+/// Sends fetches at the usual rate, and for the time of the burst at a higher
+/// one.
+void Fetch(const Machine& machine,
+           bool has_burst,
+           std::int64_t started,
+           Counts& counts) {
+  std::vector<std::thread> fetches;
+  while (NowMs() < started + kTrafficMs) {
+    fetches.emplace_back([&, number = fetches.size()]() {
+      const std::string id = "fetch" + std::to_string(number);
+      Socket socket = Socket::Connect(machine.ip, kOutboundPort);
+      socket.Send(MakeRequest("GET", "grants.example", "/survey/" + id, id,
+                              kFetchDeadlineMs));
+      const Answer answer = ReadAnswer(socket, NowMs() + kFetchDeadlineMs);
+      const bool is_whole = answer.end == AnswerEnd::kComplete &&
+                            answer.status == 200 &&
+                            answer.body.size() == kFetchSize;
+      counts.fetched += is_whole ? 1 : 0;
+      counts.not_fetched += is_whole ? 0 : 1;
+    });
+    const std::int64_t since = NowMs() - started;
+    const bool is_burst =
+        has_burst && since >= kBurstAtMs && since < kBurstAtMs + kBurstMs;
+    const double per_s = is_burst ? kFetchesPerS * kBurst : kFetchesPerS;
+    SleepMs(static_cast<std::int64_t>(1000 / per_s));
+  }
+  for (std::thread& fetch : fetches) {
+    fetch.join();
+  }
+}
+
 int Run(const std::string& folder, const std::string& record_path) {
   const char* trouble = std::getenv("TROUBLE");
   const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
   Record record(record_path);
   Runs runs;
   Deployment deployment(folder, record);
-  Machine& entry = deployment.Add("zone-a", "reports");
-  Machine& consent = deployment.Add("zone-a", "consent");
-  Machine& documents = deployment.Add("zone-a", "documents");
-  const Server consent_server(consent.ip, kInstancePort, [&](Socket& socket) {
-    Serve(socket, consent, runs);
+  Machine& portal = deployment.Add("zone-a", "status-portal");
+  Machine& survey = deployment.Add("zone-a", "survey-store");
+  Machine& disbursement = deployment.Add("zone-a", "disbursement");
+  survey.link_mbps = kLinkMbps;
+  const Server survey_server(survey.ip, kInstancePort, [&](Socket& socket) {
+    Serve(socket, survey, runs);
   });
-  const Server documents_server(
-      documents.ip, kInstancePort,
-      [&](Socket& socket) { Serve(socket, documents, runs); });
-  deployment.Configure(7, {{"consent", "records.example", "/consent/", "unsafe",
-                            2500, 500, 2, "consent"},
-                           {"upload", "records.example", "/documents/",
-                            "upload", 4000, 1000, 2, "documents"}});
+  const Server disbursement_server(
+      disbursement.ip, kInstancePort,
+      [&](Socket& socket) { Serve(socket, disbursement, runs); });
+  deployment.Configure(7, {{"release", "grants.example", "/release/", "unsafe",
+                            2500, 500, 2, "disbursement"},
+                           {"survey-pack", "grants.example", "/survey/",
+                            "download", 5000, 1200, 2, "survey-store"}});
   if (!deployment.StartNodes(3)) {
     return 2;
   }
@@ -175,33 +219,28 @@
   Counts counts;
   const std::int64_t started = NowMs();
   std::vector<std::thread> clients;
-  clients.reserve(kClients);
+  clients.reserve(kClients + 1);
   for (int client = 0; client < kClients; ++client) {
     clients.emplace_back([&, client]() {
-      SendRequests(entry, client + 1, started + kTrafficMs, runs, counts,
+      SendRequests(survey, client + 1, started + kTrafficMs, runs, counts,
                    record);
     });
   }
-  SleepMs(started + kUploadAtMs - NowMs());
-  const std::string body(has_trouble ? kUploadSize : kSmallUploadSize, 'u');
-  Socket socket = Socket::Connect(entry.ip, kOutboundPort);
-  record.Write("a client uploads " + std::to_string(body.size()) + " bytes");
-  socket.Send(MakeRequest("POST", "records.example", "/documents/1", "upload1",
-                          kUploadDeadlineMs, body));
-  const Answer answer = ReadAnswer(socket, NowMs() + kUploadDeadlineMs);
-  record.Write("upload: " + std::to_string(answer.status) + " " +
-               ToString(answer.end));
+  clients.emplace_back([&]() { Fetch(portal, has_trouble, started, counts); });
+  while (NowMs() < started + kTrafficMs) {
+    SleepMs(1000);
+    record.Write("node of survey-store uses " +
+                 std::to_string(Deployment::MemoryKb(survey)) + " kB; " +
+                 std::to_string(counts.fetched) + " fetches answered whole, " +
+                 std::to_string(counts.not_fetched) + " not; " +
+                 std::to_string(counts.answered) + " releases answered");
+  }
   for (std::thread& client : clients) {
     client.join();
   }
-  for (const std::unique_ptr<Machine>& machine : deployment.machines) {
-    record.Write("node " + machine->name + ": at most " +
-                 std::to_string(Deployment::PeakMemoryKb(*machine)) +
-                 " kB since its last start");
-  }
   is_over = true;
   watch.join();
-  record.Write("answered " + std::to_string(counts.answered) +
+  record.Write("releases answered " + std::to_string(counts.answered) +
                ", refused or failed " + std::to_string(counts.refused) +
                ", begun and closed without an answer on kept connections " +
                std::to_string(counts.lost) + ", closed and not begun " +
--- a/review/common/deployment.cc
+++ b/review/common/deployment.cc
@@ -186,6 +186,10 @@
   for (const auto& [name, value] : values) {
     text = Replace(text, Join({"{{", name, "}}"}), value);
   }
+  if (machine.link_mbps > 0) {
+    text = Replace(text, "[relay]\n",
+                   "[relay]\nadvertise_address = " + at(kLinkPort) + "\n");
+  }
   std::ofstream(this->folder + "/" + machine.name + ".ini") << text;
 }
 
@@ -257,6 +261,10 @@
 
 bool Deployment::StartNodes(int targets) {
   for (const std::unique_ptr<Machine>& machine : this->machines) {
+    if (machine->link_mbps > 0) {
+      machine->link = std::make_unique<NarrowLink>(
+          machine->ip, kLinkPort, kPeerPort, machine->link_mbps);
+    }
     this->StartNode(*machine);
   }
   this->is_first_start = false;
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "review/common/narrow_link.h"
 #include "review/common/sockets.h"
 #include "standins/fake_store.h"
 
@@ -26,6 +27,7 @@
 constexpr int kOutboundPort = 18304;
 constexpr int kControlPort = 18306;
 constexpr int kPeerPort = 17620;
+constexpr int kLinkPort = 17621;
 constexpr int kMetricsPort = 9464;
 
 /// Writes what was sent, answered and run, with the time since the start.
@@ -50,6 +52,9 @@
   std::string instance_id;
   int capacity = 100;
   pid_t node = -1;
+  /// Rate of the machine's network link; 0: that of the loopback.
+  double link_mbps = 0;
+  std::unique_ptr<NarrowLink> link;
   /// Whether the instance sends its reports.
   std::atomic<bool> reports{true};
 };
--- a/review/common/sockets.cc
+++ b/review/common/sockets.cc
@@ -178,6 +178,15 @@
   shutdown(this->handle, SHUT_WR);
 }
 
+void Socket::Shutdown() const {
+  shutdown(this->handle, SHUT_RDWR);
+}
+
+void Socket::SetBuffers(int bytes) const {
+  setsockopt(this->handle, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  setsockopt(this->handle, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 void Socket::Close() {
   if (this->handle >= 0) {
     close(std::exchange(this->handle, -1));
--- a/review/common/sockets.h
+++ b/review/common/sockets.h
@@ -49,6 +49,10 @@
   void Reset();
   /// Sends the end of the stream; the other direction stays open.
   void ShutdownSend() const;
+  /// Ends both directions; waiting calls return.
+  void Shutdown() const;
+  /// Sets the size of the buffers for both directions.
+  void SetBuffers(int bytes) const;
   void Close();
 
  private:
