A connection to the target never carries two requests with one id

Cause: an answer names its request and not the send. After a refusal the connection went back to the pool, which gives the connection that became idle last to the next request: the same one. A late second copy of the refusal was then taken for the answer to the second send. A request without an id had the same fault with any next request.

Evidence: target_reuse_test drives one pool against a scripted target, without nodes or links.

--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -17,7 +17,10 @@
 ///
 /// A connection carries one exchange at a time. It is reused only if the answer
 /// was complete, carried the id of the request and was followed by no further
-/// bytes, because such bytes belong to no request. Long answers are passed on
+/// bytes, because such bytes belong to no request. A target may repeat an
+/// answer late, when the next one is due; its id tells which request it belongs
+/// to, but not which send of that request. So a connection never carries two
+/// requests with the same id. Long answers are passed on
 /// in parts as they arrive; reading pauses while too much of them has not been
 /// consumed.
 namespace almondlink::relay {
@@ -95,6 +98,8 @@
   struct State;
 
  private:
+  TargetExchange TakeIdle(Millis now, const TargetRequest& request);
+
   std::shared_ptr<State> state;
 };
 
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "almondlink/base/clock.h"
+#include "almondlink/base/hash.h"
 #include "almondlink/relay/socket_options.h"
 #include "shared_read.h"
 
@@ -28,10 +29,18 @@
 constexpr Millis kDefaultIdleTime{3000};
 constexpr std::int64_t kIdleMargin = 1500;
 constexpr std::int64_t kMillisPerSecond = 1000;
+/// Requests after which a connection is closed. It bounds the memory for the
+/// ids that the connection has carried to 1 KiB.
+constexpr std::size_t kMaxCarried = 256;
 constexpr std::uint32_t kFirstSuccess = 200;
 constexpr std::uint32_t kFirstRedirect = 300;
 constexpr std::uint32_t kMisdirected = 421;
 
+/// A collision costs a new connection and nothing else.
+std::uint32_t ShortHash(const std::string& id) {
+  return static_cast<std::uint32_t>(StableHash(id));
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(std::weak_ptr<TargetPool::State> pool_in,
@@ -66,6 +75,7 @@
 void TargetConnection::Use(TargetRequest request_in, TargetEvents events_in) {
   this->request = std::move(request_in);
   this->events = std::move(events_in);
+  this->carried.push_back(ShortHash(this->request.id));
   this->is_busy = true;
   this->written = 0;
   this->unconsumed = 0;
@@ -85,6 +95,11 @@
   this->events = {};
 }
 
+bool TargetConnection::HasCarried(const std::string& id) const {
+  return std::find(this->carried.begin(), this->carried.end(), ShortHash(id)) !=
+         this->carried.end();
+}
+
 void TargetConnection::CheckConnect(Millis now) {
   if (this->is_connecting && now - this->opened > kConnectTimeout) {
     this->Fail(CallReason::kConnectFailed);
@@ -244,9 +259,11 @@
   // A refusal may lack the request id. A second one on this connection could be
   // taken for the answer to the next request, which would then be reported as
   // not run although it ran.
-  const bool has_id = this->parser->head.id == this->request.id;
+  const bool has_id = !this->request.id.empty() &&
+                      this->parser->head.id == this->request.id;
   const bool is_usable = has_id && this->parser->head.is_keep_alive &&
                          !this->has_skipped_answer && this->input.empty() &&
+                         this->carried.size() < kMaxCarried &&
                          this->written == this->request.bytes.size() &&
                          this->socket.is_open();
   if (!is_usable) {
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -2,10 +2,12 @@
 #define ALMONDLINK_RELAY_SRC_SERVING_TARGET_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "almondlink/relay/target_pool.h"
 
@@ -30,6 +32,10 @@
   void OnConsumed(std::size_t bytes);
   /// Fails the exchange if connecting takes too long.
   void CheckConnect(Millis now);
+  /// Whether a request with that id may have been sent on this connection. An
+  /// answer names its request and not the send, so the answers to two sends of
+  /// one request on one connection could not be told apart.
+  bool HasCarried(const std::string& id) const;
 
   bool IsOpen() const { return this->socket.is_open(); }
   bool IsBusy() const { return this->is_busy; }
@@ -63,6 +69,8 @@
   bool is_reading = false;
   bool is_streaming = false;
   bool has_skipped_answer = false;
+  /// Hashes of the ids of all requests that were sent on this connection.
+  std::vector<std::uint32_t> carried;
   Millis opened;
   Millis idle_since;
   Millis idle_until;
--- a/libs/relay/src/serving/target_pool.cc
+++ b/libs/relay/src/serving/target_pool.cc
@@ -1,6 +1,7 @@
 #include "almondlink/relay/target_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include "almondlink/relay/target_probe.h"
@@ -30,25 +31,38 @@
   }
 }
 
-TargetExchange TargetPool::Send(Millis now,
-                                TargetRequest request,
-                                TargetEvents events) {
+/// Removes the most recently used idle connection that the request may be sent
+/// on and returns it; null if there is none.
+TargetExchange TargetPool::TakeIdle(Millis now, const TargetRequest& request) {
   std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
-  while (!idle.empty()) {
-    std::shared_ptr<TargetConnection> last = idle.back();
-    const bool is_stale = !last->IsOpen() || now >= last->IdleUntil();
-    const bool is_idle_too_long =
-        !request.is_repeatable && now - last->IdleSince() > kMaxIdleSingleUse;
-    if (is_idle_too_long && !is_stale) {
-      break;
-    }
-    idle.pop_back();
-    if (is_stale) {
-      last->Close();
+  for (std::size_t index = idle.size(); index-- > 0;) {
+    const TargetExchange candidate = idle[index];
+    const auto place = idle.begin() + static_cast<std::ptrdiff_t>(index);
+    if (!candidate->IsOpen() || now >= candidate->IdleUntil()) {
+      idle.erase(place);
+      candidate->Close();
       continue;
     }
-    last->Use(std::move(request), std::move(events));
-    return last;
+    if (!request.is_repeatable &&
+        now - candidate->IdleSince() > kMaxIdleSingleUse) {
+      // Those before it have been idle for longer.
+      return nullptr;
+    }
+    if (!candidate->HasCarried(request.id)) {
+      idle.erase(place);
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
+TargetExchange TargetPool::Send(Millis now,
+                                TargetRequest request,
+                                TargetEvents events) {
+  const TargetExchange idle = this->TakeIdle(now, request);
+  if (idle != nullptr) {
+    idle->Use(std::move(request), std::move(events));
+    return idle;
   }
   std::shared_ptr<TargetConnection> fresh = std::make_shared<TargetConnection>(
       this->state, this->state->loop, this->state->names);
--- /dev/null
+++ b/libs/relay/tests/target_reuse_test.cc
@@ -0,0 +1,116 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "libs/relay/tests/scripted_target.h"
+
+/// Guards against an answer to one send that is taken for the answer to another
+/// one: a request that must not run twice was refused, sent again on the same
+/// connection, and the late second copy of the refusal was taken for the answer
+/// to that, so the request ran twice.
+namespace almondlink::relay {
+namespace {
+
+const std::string kFourBytes = "Content-Length: 4\r\n";
+
+/// Answers the first request with `first`, and each later one with a success.
+/// A second copy of each answer arrives when the next one on its connection is
+/// due.
+ScriptedTarget::Script RepeatLate(const std::string& first,
+                                  std::atomic<int>& requests) {
+  return [&requests, first](ScriptedConnection& connection, int /*number*/) {
+    std::string copy;
+    while (true) {
+      const std::string head = connection.ReadHead();
+      if (head.empty()) {
+        return;
+      }
+      const bool is_first = requests++ == 0;
+      connection.Send(copy);
+      copy = is_first ? first : MakeSuccess(IdIn(head), kFourBytes, "last");
+      connection.Send(copy);
+    }
+  };
+}
+
+TEST_CASE("a late copy of an answer is not taken for that to a second send") {
+  const std::string id = "pay1";
+  const std::vector<std::string> firsts = {
+      MakeRefusal(id),
+      "HTTP/1.1 429 Too Many Requests\r\nRequest-Id: pay1\r\nNot-Executed: "
+      "1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: pay1\r\n"
+      "Content-Length: 0\r\n\r\n",
+      MakeSuccess(id, kFourBytes, "1st!"),
+      "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: pay1\r\n"
+      "Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nRequest-Id: pay1\r\n\r\n" +
+          MakeRefusal(id)};
+  for (const std::string& first : firsts) {
+    for (const bool is_repeatable : {false, true}) {
+      INFO(first << "repeatable " << is_repeatable);
+      std::atomic<int> requests{0};
+      const ScriptedTarget target(RepeatLate(first, requests));
+      PoolDriver driver(target);
+      const ExchangeResult refused = driver.Send(id, MakeTargetRequest(id),
+                                                 Millis{5000}, is_repeatable);
+      REQUIRE(refused.is_over);
+      REQUIRE(refused.head.has_value());
+      const ExchangeResult second = driver.Send(id, MakeTargetRequest(id),
+                                                Millis{5000}, is_repeatable);
+      REQUIRE(second.IsWholeSuccess());
+      REQUIRE(second.body == "last");
+      REQUIRE(requests == 2);
+    }
+  }
+}
+
+TEST_CASE("other requests between two sends make no difference") {
+  std::atomic<int> requests{0};
+  const ScriptedTarget target(RepeatLate(MakeRefusal("pay1"), requests));
+  PoolDriver driver(target);
+  REQUIRE(driver.Send("pay1", MakeTargetRequest("pay1")).head->is_not_run);
+  // The late refusal arrives here: its id tells it apart, and the connection is
+  // closed afterwards.
+  const ExchangeResult other = driver.Send("pay2", MakeTargetRequest("pay2"));
+  REQUIRE(other.IsWholeSuccess());
+  REQUIRE(other.body == "last");
+  REQUIRE(driver.Send("pay1", MakeTargetRequest("pay1")).body == "last");
+  REQUIRE(target.Accepted() == 2);
+}
+
+TEST_CASE("a request without an id shares its connection with no other") {
+  // Nothing would tell a late copy of its answer from that to another one.
+  std::atomic<int> requests{0};
+  const ScriptedTarget target(RepeatLate(
+      "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      requests));
+  PoolDriver driver(target);
+  REQUIRE(driver.Send("", MakeTargetRequest("")).head->status == 400);
+  const ExchangeResult next = driver.Send("pay1", MakeTargetRequest("pay1"));
+  REQUIRE(next.IsWholeSuccess());
+  REQUIRE(target.Accepted() == 2);
+}
+
+TEST_CASE("connections are still used for many requests") {
+  const ScriptedTarget target(
+      [](ScriptedConnection& connection, int /*number*/) {
+        while (true) {
+          const std::string head = connection.ReadHead();
+          if (head.empty()) {
+            return;
+          }
+          connection.Send(MakeSuccess(IdIn(head), kFourBytes, "done"));
+        }
+      });
+  PoolDriver driver(target);
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "get" + std::to_string(i);
+    REQUIRE(driver.Send(id, MakeTargetRequest(id)).IsWholeSuccess());
+  }
+  REQUIRE(target.Accepted() <= 3);
+}
+
+}  // namespace
+}  // namespace almondlink::relay
