An answer without a length is not complete after a failed write

Cause: the kernel reports a socket's error once. The write that waited for the long body took it and dropped it; the read saw a regular end, which ends an answer without a length. For the slow instance the error came from the node's own limit on acknowledgements, which counts a closed window.

--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -34,6 +34,9 @@
   /// Whether the request may be sent again. If not, an idle connection is
   /// reused only if it was in use very recently.
   bool is_repeatable = true;
+  /// How long its caller still waits. A target may leave the body of a long
+  /// request unread for as long.
+  Millis time_left;
 };
 
 /// Events of an exchange. It ends with an answer without `has_more`, the last
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -198,6 +198,7 @@
   request.id = call.request_id;
   request.is_head_method = call.method == "HEAD";
   request.is_repeatable = call.is_repeatable;
+  request.time_left = left;
   request.bytes = std::move(call.request_head);
   std::string& bytes = request.bytes;
   const auto put = [&bytes](const std::string& name, const std::string& value) {
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -21,8 +21,11 @@
 constexpr std::size_t kStreamWindow = 256 * 1024;
 constexpr Millis kConnectTimeout{1000};
 /// A connection on the same host that acknowledges nothing for this long is
-/// broken.
+/// broken, unless the target may have stopped reading a long request.
 constexpr Millis kAckTimeout{1000};
+/// Requests up to this size fit into the receive buffer of a target that reads
+/// nothing, so all of their bytes are acknowledged.
+constexpr std::size_t kMaxUnreadRequest = 16 * 1024;
 /// Idle time of connections if the target states none in Keep-Alive, and the
 /// margin subtracted from a stated one: the target must not close a connection
 /// while a request is being sent on it.
@@ -67,6 +70,7 @@
       self->Fail(CallReason::kConnectFailed);
       return;
     }
+    self->ack_timeout = kAckTimeout;
     ConfigureSocket(self->socket, kAckTimeout);
     self->Use(std::move(self->request), std::move(self->events));
   });
@@ -83,10 +87,24 @@
   this->has_skipped_answer = false;
   this->parser.emplace(this->names);
   this->parser->skip(this->request.is_head_method);
+  this->SetAckTimeout();
   this->Write();
   this->Read();
 }
 
+/// The kernel counts the time for which the target's window is closed as time
+/// without an acknowledgement. A target may answer before it has read a long
+/// body and read on later, so such a request has as long as its caller waits.
+/// The limit is not lowered again: the next request follows the unread bytes.
+void TargetConnection::SetAckTimeout() {
+  const bool is_long = this->request.bytes.size() > kMaxUnreadRequest;
+  if (!is_long || this->request.time_left <= this->ack_timeout) {
+    return;
+  }
+  this->ack_timeout = this->request.time_left;
+  ConfigureSocket(this->socket, this->ack_timeout);
+}
+
 void TargetConnection::Close() {
   this->is_busy = false;
   this->is_connecting = false;
@@ -126,6 +144,7 @@
     }
     if (error) {
       // The answer may still be readable; the read detects the end.
+      this->has_write_failed = true;
       return;
     }
   }
@@ -157,9 +176,9 @@
     return;
   }
   if (error) {
-    const bool is_proper_end = error == boost::asio::error::eof &&
-                               this->parser->FinishAtEof() &&
-                               this->IsOfThisRequest();
+    const bool is_proper_end =
+        error == boost::asio::error::eof && !this->has_write_failed &&
+        this->parser->FinishAtEof() && this->IsOfThisRequest();
     if (is_proper_end) {
       this->Deliver(true);
       return;
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -43,6 +43,7 @@
   Millis IdleSince() const { return this->idle_since; }
 
  private:
+  void SetAckTimeout();
   void Write();
   void Read();
   void OnRead(const boost::system::error_code& error, std::string_view bytes);
@@ -69,6 +70,11 @@
   bool is_reading = false;
   bool is_streaming = false;
   bool has_skipped_answer = false;
+  /// A write has failed. It may have taken the socket's error, which the kernel
+  /// reports once; the reads that follow see a regular end of the stream.
+  bool has_write_failed = false;
+  /// How long the target may acknowledge nothing, as set on the socket.
+  Millis ack_timeout;
   /// Hashes of the ids of all requests that were sent on this connection.
   std::vector<std::uint32_t> carried;
   Millis opened;
--- a/libs/relay/tests/scripted_target.cc
+++ b/libs/relay/tests/scripted_target.cc
@@ -146,6 +146,7 @@
   request.id = id;
   request.bytes = bytes;
   request.is_repeatable = is_repeatable;
+  request.time_left = wait;
   TargetEvents events;
   events.on_answer = [result, exchange](const AnswerHead& head,
                                         const std::string& body,
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds kSecondRefusal{20};
 /// Pause of an instance that answered early, before it reads the body.
 constexpr std::chrono::milliseconds kReadsOnAfter{500};
+/// Pause of one that answered a part before it resets, or reads the body.
+constexpr std::chrono::milliseconds kResetsAfter{100};
+constexpr std::chrono::milliseconds kReadsLateAfter{1800};
 
 std::int64_t SteadyMillis() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -171,6 +174,8 @@
   const std::string own = this->Id();
   const bool is_early = now == InstanceFault::kAnswerBeforeBody ||
                         now == InstanceFault::kShedBeforeBody ||
+                        now == InstanceFault::kResetEarlyAnswer ||
+                        now == InstanceFault::kSlowEarlyAnswer ||
                         now == InstanceFault::kEndInBody;
   if (!is_early || std::string(head["Target-Instance"]) != own) {
     return std::nullopt;
@@ -187,6 +192,8 @@
   }
   const std::string echo = "Request-Id: " + run.id + "\r\n";
   const std::string mark = "Response-Seal: " + own + "\r\n";
+  const std::string half(static_cast<std::size_t>(this->spec.body_size) / 2,
+                         'b');
   BodyReaction reaction;
   reaction.pause = kReadsOnAfter;
   switch (now) {
@@ -197,6 +204,14 @@
       reaction.bytes = MakeAnswer(
           503, "Not-Executed: 1\r\n" + echo + this->Notices(), "full");
       break;
+    case InstanceFault::kResetEarlyAnswer:
+    case InstanceFault::kSlowEarlyAnswer:
+      reaction.bytes = "HTTP/1.1 200 OK\r\n" + echo + mark +
+                       this->Notices() + "Connection: close\r\n\r\n" + half;
+      reaction.resets = now == InstanceFault::kResetEarlyAnswer;
+      reaction.pause = reaction.resets ? kResetsAfter : kReadsLateAfter;
+      reaction.last_bytes = half;
+      break;
     default:
       reaction.after =
           std::strtoull(std::string(head["Content-Length"]).c_str(), nullptr,
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -39,6 +39,10 @@
   kAnswerBeforeBody,
   /// Answers before it has read the body that it will not run the request.
   kShedBeforeBody,
+  /// Sends half of a success without a length before it has read the body, and
+  /// resets the connection, or reads the body late and sends the rest.
+  kResetEarlyAnswer,
+  kSlowEarlyAnswer,
   /// Ends halfway through the body, and is back under another id.
   kEndInBody,
 };
--- a/standins/fake_server.cc
+++ b/standins/fake_server.cc
@@ -101,7 +101,21 @@
         return;
       }
       std::this_thread::sleep_for(early->pause);
-      http::read(connection.socket, buffer, parser, error);
+      if (early->resets) {
+        connection.socket.set_option(
+            boost::asio::socket_base::linger(true, 0), error);
+      } else {
+        http::read(connection.socket, buffer, parser, error);
+        boost::asio::write(connection.socket,
+                           boost::asio::buffer(early->last_bytes), error);
+      }
+      if (early->resets || !early->last_bytes.empty()) {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->is_stopped) {
+          connection.socket.close(error);
+        }
+        return;
+      }
       if (error) {
         return;
       }
--- a/standins/fake_server.h
+++ b/standins/fake_server.h
@@ -40,6 +40,10 @@
   std::string bytes;
   /// The rest of the body is read after this pause.
   std::chrono::milliseconds pause{0};
+  /// Written when the body has been read; the connection is closed then.
+  std::string last_bytes;
+  /// Reset the connection in place of reading the rest.
+  bool resets = false;
   /// Read nothing more; the socket is closed when the server ends.
   bool stops = false;
   std::function<void()> on_stop;
