Bytes without end from a target on the platform's path are bounded

Callers saw: a target that sent the body of an answer to another request, or the extension of a chunk, without end took the node beside it to 742 and 720 MB with ten callers, which ends a node on a small host and all that others wait for.

Cause: whose answer it is was decided only when it was complete, so bodies for no request here were collected; the parser bounds neither chunk extensions nor trailers; interim answers were not counted.

Change: the relation is decided at the end of the head; answers that are not due are dropped as they are read and end the exchange after 256 KiB; unparsed input is bounded by 64 KiB. The caller gets 502 and the slot is free.

--- a/libs/relay/src/http_parser.cc
+++ b/libs/relay/src/http_parser.cc
@@ -15,7 +15,8 @@
 using StringView = boost::beast::string_view;
 
 /// Maximum size of all header fields, in bytes; requests of callers are far
-/// smaller.
+/// smaller. The same bound holds for what a parser cannot consume yet, such as
+/// the extensions of a chunk or its trailer fields, which Beast does not bound.
 constexpr std::uint32_t kMaxHeader = 64 * 1024;
 
 bool IsField(StringView name, const std::string& wanted) {
@@ -95,7 +96,9 @@
     }
   }
   input.erase(0, used);
-  return step;
+  const bool is_endless =
+      step == ParseStatus::kNeedMore && input.size() > kMaxHeader;
+  return is_endless ? ParseStatus::kMalformed : step;
 }
 
 template <bool IsRequest>
@@ -259,6 +262,11 @@
                                  string_view name_text,
                                  string_view value,
                                  error_code& /*error*/) {
+  if (this->is_header_done()) {
+    // A trailer field does not change whose answer it is.
+    this->KeepField(name, name_text, value, this->head.fields);
+    return;
+  }
   if (name == http::field::keep_alive) {
     this->head.keep_alive_s = KeepAliveTimeout(value);
   } else if (name == http::field::content_encoding) {
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -17,6 +17,9 @@
 /// request of a truncated one can be repeated before its caller has received
 /// any part.
 constexpr std::size_t kMaxBufferedAnswer = 256 * 1024;
+/// Bytes of interim answers and answers to other requests that are read before
+/// the answer to a request. A target may send them without end.
+constexpr std::size_t kMaxSkipped = 256 * 1024;
 /// Bytes of a long answer that may be unconsumed; above this, reading pauses.
 constexpr std::size_t kStreamWindow = 256 * 1024;
 constexpr Millis kConnectTimeout{1000};
@@ -85,8 +88,8 @@
   this->unconsumed = 0;
   this->is_streaming = false;
   this->has_skipped_answer = false;
-  this->parser.emplace(this->names);
-  this->parser->skip(this->request.is_head_method);
+  this->skipped = 0;
+  this->StartParser();
   this->SetAckTimeout();
   this->Write();
   this->Read();
@@ -190,51 +193,88 @@
   this->Parse();
 }
 
+void TargetConnection::StartParser() {
+  this->parser.emplace(this->names);
+  this->parser->skip(this->request.is_head_method);
+}
+
 void TargetConnection::Parse() {
   while (this->is_busy) {
+    const std::size_t before = this->input.size();
     const ParseStatus step = this->parser->Feed(this->input);
     if (step == ParseStatus::kMalformed) {
       this->Fail(CallReason::kBadAnswer);
       return;
     }
     const bool is_complete = step == ParseStatus::kDone;
-    const bool is_interim =
-        is_complete && this->parser->head.status < kFirstSuccess;
-    const bool is_mismatched = is_complete && !is_interim &&
-                               !this->is_streaming && !this->IsOfThisRequest();
-    const std::string& id = this->parser->head.id;
-    const bool has_other_id =
-        is_mismatched && !id.empty() && id != this->request.id;
-    if (is_interim || is_mismatched) {
-      if (is_mismatched && (!has_other_id || this->has_skipped_answer)) {
+    const AnswerRelation relation = this->Relation();
+    const bool is_skipped = relation == AnswerRelation::kInterim ||
+                            relation == AnswerRelation::kOther;
+    const bool is_valid =
+        relation != AnswerRelation::kInvalid &&
+        (!is_skipped || this->Skip(relation, before - this->input.size()));
+    if (!is_valid) {
+      this->Fail(CallReason::kBadAnswer);
+      return;
+    }
+    if (is_skipped && is_complete) {
+      this->has_skipped_answer =
+          this->has_skipped_answer || relation == AnswerRelation::kOther;
+      this->StartParser();
+      if (!this->input.empty()) {
+        continue;
+      }
+    } else if (is_complete) {
+      this->Deliver(true);
+      return;
+    } else if (relation == AnswerRelation::kOwn) {
+      const bool is_long = this->parser->body.size() > kMaxBufferedAnswer;
+      if (is_long && this->IsRefusal()) {
+        // The body of a refusal is never passed on.
         this->Fail(CallReason::kBadAnswer);
         return;
       }
-      // This may be the late answer to an earlier request; the one to this
-      // request can follow it.
-      this->has_skipped_answer = this->has_skipped_answer || has_other_id;
-      this->parser.emplace(this->names);
-      this->parser->skip(this->request.is_head_method);
-      if (this->input.empty()) {
-        this->Read();
-        return;
+      if (this->is_streaming || is_long) {
+        this->Deliver(false);
       }
-      continue;
-    }
-    if (is_complete) {
-      this->Deliver(true);
-      return;
-    }
-    const bool is_long = this->parser->is_header_done() &&
-                         this->parser->body.size() > kMaxBufferedAnswer;
-    if (this->is_streaming || (is_long && this->IsOfThisRequest())) {
-      this->Deliver(false);
     }
     this->Read();
     return;
   }
 }
 
+/// Drops what was read of an answer to another request, or of an interim one.
+/// False if the answer to this request cannot follow, or the target has sent
+/// too much before it.
+bool TargetConnection::Skip(AnswerRelation relation, std::size_t bytes) {
+  std::string().swap(this->parser->body);
+  this->skipped += bytes;
+  const bool is_second =
+      relation == AnswerRelation::kOther && this->has_skipped_answer;
+  return !is_second && !this->parser->need_eof() &&
+         this->skipped <= kMaxSkipped;
+}
+
+AnswerRelation TargetConnection::Relation() const {
+  if (!this->parser->is_header_done()) {
+    return AnswerRelation::kUnknown;
+  }
+  const AnswerHead& head = this->parser->head;
+  if (head.status < kFirstSuccess) {
+    return AnswerRelation::kInterim;
+  }
+  if (this->is_streaming || this->IsOfThisRequest()) {
+    return AnswerRelation::kOwn;
+  }
+  const bool has_other_id = !head.id.empty() && head.id != this->request.id;
+  return has_other_id ? AnswerRelation::kOther : AnswerRelation::kInvalid;
+}
+
+bool TargetConnection::IsRefusal() const {
+  const AnswerHead& head = this->parser->head;
+  return head.is_not_run || head.status == kMisdirected;
+}
+
 bool TargetConnection::IsOfThisRequest() const {
   const AnswerHead& head = this->parser->head;
   const bool is_success =
@@ -242,7 +282,7 @@
   if (is_success) {
     return head.id == this->request.id && head.has_seal && !head.is_encoded;
   }
-  if (head.is_not_run || head.status == kMisdirected) {
+  if (this->IsRefusal()) {
     return head.id.empty() || head.id == this->request.id;
   }
   return head.has_seal && head.id == this->request.id;
@@ -278,13 +318,12 @@
   // A refusal may lack the request id. A second one on this connection could be
   // taken for the answer to the next request, which would then be reported as
   // not run although it ran.
-  const bool has_id = !this->request.id.empty() &&
-                      this->parser->head.id == this->request.id;
-  const bool is_usable = has_id && this->parser->head.is_keep_alive &&
-                         !this->has_skipped_answer && this->input.empty() &&
-                         this->carried.size() < kMaxCarried &&
-                         this->written == this->request.bytes.size() &&
-                         this->socket.is_open();
+  const bool has_id =
+      !this->request.id.empty() && this->parser->head.id == this->request.id;
+  const bool is_usable =
+      has_id && this->parser->head.is_keep_alive && !this->has_skipped_answer &&
+      this->input.empty() && this->carried.size() < kMaxCarried &&
+      this->written == this->request.bytes.size() && this->socket.is_open();
   if (!is_usable) {
     this->Close();
     return;
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -13,6 +13,19 @@
 
 namespace almondlink::relay {
 
+/// What an answer is to the request that waits for one.
+enum class AnswerRelation {
+  /// Its head has not been read.
+  kUnknown,
+  kOwn,
+  /// An interim answer, after which the final one follows.
+  kInterim,
+  /// It has the id of another request; it may be a late second copy.
+  kOther,
+  /// No request can be told to be the one that it answers.
+  kInvalid,
+};
+
 /// A connection to the target and the exchange that is in progress on it.
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
@@ -47,9 +60,14 @@
   void Write();
   void Read();
   void OnRead(const boost::system::error_code& error, std::string_view bytes);
+  void StartParser();
   void Parse();
   /// Whether the parsed answer head belongs to the current request.
   bool IsOfThisRequest() const;
+  /// What the parsed head is to the current request.
+  AnswerRelation Relation() const;
+  bool IsRefusal() const;
+  bool Skip(AnswerRelation relation, std::size_t bytes);
   void Deliver(bool is_complete);
   void Complete();
   void Fail(CallReason reason);
@@ -70,6 +88,8 @@
   bool is_reading = false;
   bool is_streaming = false;
   bool has_skipped_answer = false;
+  /// Bytes of answers that were skipped in the current exchange.
+  std::size_t skipped = 0;
   /// A write has failed. It may have taken the socket's error, which the kernel
   /// reports once; the reads that follow see a regular end of the stream.
   bool has_write_failed = false;
--- a/libs/relay/tests/http_parser_test.cc
+++ b/libs/relay/tests/http_parser_test.cc
@@ -134,5 +134,34 @@
   REQUIRE(parse("X-Leaving: 1\r\n").is_leaving);
 }
 
+TEST_CASE("a chunk extension or a trailer of any length is not collected") {
+  // Without end, such bytes would fill the node's memory.
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(16 * 1024, 'x');
+  for (const std::string& start :
+       {head + "5;x=", head + "5\r\nhello\r\n0\r\nX-Long: "}) {
+    RequestParser parser(kNames);
+    std::string input = start;
+    ParseStatus status = ParseStatus::kNeedMore;
+    for (int i = 0; i < 64 && status == ParseStatus::kNeedMore; ++i) {
+      input += filler;
+      status = parser.Feed(input);
+    }
+    REQUIRE(status == ParseStatus::kMalformed);
+  }
+}
+
+TEST_CASE("a trailer does not change whose answer it is") {
+  AnswerParser parser(kNames);
+  std::string input =
+      "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\nX-Id: 8\r\nX-Seal: s\r\nX-Not: 1\r\n\r\n";
+  REQUIRE(parser.Feed(input) == ParseStatus::kDone);
+  REQUIRE(parser.head.id == "7");
+  REQUIRE_FALSE(parser.head.has_seal);
+  REQUIRE_FALSE(parser.head.is_not_run);
+}
+
 }  // namespace
 }  // namespace almondlink::relay
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kResetsAfter{100};
 constexpr std::chrono::milliseconds kReadsLateAfter{1800};
 
+/// Size of the piece that is sent again and again, 4000 in hexadecimal.
+constexpr std::size_t kEndlessPiece = 0x4000;
+
 std::int64_t SteadyMillis() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::steady_clock::now().time_since_epoch())
@@ -206,8 +209,8 @@
       break;
     case InstanceFault::kResetEarlyAnswer:
     case InstanceFault::kSlowEarlyAnswer:
-      reaction.bytes = "HTTP/1.1 200 OK\r\n" + echo + mark +
-                       this->Notices() + "Connection: close\r\n\r\n" + half;
+      reaction.bytes = "HTTP/1.1 200 OK\r\n" + echo + mark + this->Notices() +
+                       "Connection: close\r\n\r\n" + half;
       reaction.resets = now == InstanceFault::kResetEarlyAnswer;
       reaction.pause = reaction.resets ? kResetsAfter : kReadsLateAfter;
       reaction.last_bytes = half;
@@ -323,6 +326,21 @@
           "HTTP/1.1 200 OK\r\n" + seal + "Connection: close\r\n\r\n" + body;
       reaction.closes = true;
       break;
+    case InstanceFault::kEndlessInterim:
+      reaction.bytes.clear();
+      reaction.endless_bytes = "HTTP/1.1 102 Processing\r\n\r\n";
+      break;
+    case InstanceFault::kEndlessOther:
+      reaction.bytes = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + mark +
+                       "Transfer-Encoding: chunked\r\n\r\n";
+      reaction.endless_bytes =
+          "4000\r\n" + std::string(kEndlessPiece, 'b') + "\r\n";
+      break;
+    case InstanceFault::kEndlessExtension:
+      reaction.bytes = "HTTP/1.1 200 OK\r\n" + seal +
+                       "Transfer-Encoding: chunked\r\n\r\n4;x=";
+      reaction.endless_bytes = std::string(kEndlessPiece, 'b');
+      break;
     case InstanceFault::kNoSeal:
       reaction.bytes = MakeAnswer(200, echo, body);
       break;
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -43,6 +43,11 @@
   /// resets the connection, or reads the body late and sends the rest.
   kResetEarlyAnswer,
   kSlowEarlyAnswer,
+  /// Runs it and sends bytes without end that are no answer: interim answers,
+  /// the body of an answer to another request, the extension of a chunk.
+  kEndlessInterim,
+  kEndlessOther,
+  kEndlessExtension,
   /// Ends halfway through the body, and is back under another id.
   kEndInBody,
 };
--- a/standins/fake_server.cc
+++ b/standins/fake_server.cc
@@ -102,8 +102,8 @@
       }
       std::this_thread::sleep_for(early->pause);
       if (early->resets) {
-        connection.socket.set_option(
-            boost::asio::socket_base::linger(true, 0), error);
+        connection.socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                     error);
       } else {
         http::read(connection.socket, buffer, parser, error);
         boost::asio::write(connection.socket,
@@ -136,6 +136,10 @@
       boost::asio::write(connection.socket, boost::asio::buffer(reaction.bytes),
                          error);
     }
+    while (!error && !reaction.endless_bytes.empty()) {
+      boost::asio::write(connection.socket,
+                         boost::asio::buffer(reaction.endless_bytes), error);
+    }
     if (!reaction.late_bytes.empty()) {
       std::this_thread::sleep_for(reaction.pause);
       boost::asio::write(connection.socket,
--- a/standins/fake_server.h
+++ b/standins/fake_server.h
@@ -25,6 +25,8 @@
   /// Written after a pause.
   std::string late_bytes;
   std::chrono::milliseconds pause{0};
+  /// Written again and again until the caller closes, if it is not empty.
+  std::string endless_bytes;
   /// Close afterwards; with `resets` by a reset instead of a proper end.
   bool closes = false;
   bool resets = false;
