Own interface: chunk extensions, trailers and interim answers are bounded

A target that sent them without end filled the node's memory until the time limit of the request: the parser bounds heads and bodies only. The reader of answers refuses unparsed input above the limit of a head and more than 64 interim answers. answer_reader_test, "what no limit of the parser bounds ...": 3 of 3 checks failed before, pass now.

--- a/libs/server/src/answer_reader.cc
+++ b/libs/server/src/answer_reader.cc
@@ -13,6 +13,8 @@
 /// A target that sends more than this before the answer that is due is not
 /// worth waiting for.
 constexpr std::uint32_t kMostForeign = 4;
+/// The same for interim answers, which are legitimate in small numbers.
+constexpr std::uint32_t kMostInterim = 64;
 
 ErrorKind KindOf(boost::beast::error_code error) {
   const bool is_too_large =
@@ -72,7 +74,10 @@
         return step;
       }
     } else if (error == http::error::need_more) {
-      return ReadStep::kNeedMore;
+      // The parser does not bound the extensions of a chunk and the trailers.
+      const bool is_endless = input.size() > this->limits.max_header;
+      return is_endless ? this->Fail(ErrorKind::kAnswerTooLarge)
+                        : ReadStep::kNeedMore;
     }
   }
   return ReadStep::kNeedMore;
@@ -81,6 +86,10 @@
 ReadStep AnswerReader::Judge() {
   const auto& message = this->parser->get();
   if (message.result_int() < kFirstFinalStatus) {
+    ++this->interim;
+    if (this->interim > kMostInterim) {
+      return this->Fail(ErrorKind::kTargetBadAnswer);
+    }
     this->StartParser();
     return ReadStep::kNeedMore;
   }
--- a/libs/server/src/answer_reader.h
+++ b/libs/server/src/answer_reader.h
@@ -71,6 +71,7 @@
   ErrorKind fault = ErrorKind::kNone;
   bool keeps_connection = false;
   std::uint32_t foreign = 0;
+  std::uint32_t interim = 0;
 };
 
 }  // namespace almondlink::server
--- a/libs/server/tests/answer_reader_test.cc
+++ b/libs/server/tests/answer_reader_test.cc
@@ -179,5 +179,30 @@
   }
 }
 
+TEST_CASE("what no limit of the parser bounds is bounded by the reader") {
+  // A target that sent such bytes without end filled the node's memory. Here
+  // they end after more than the limit, so that a reader without one succeeds.
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAlmondlink-Attempt-Id: own0\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(3 * kLimits.max_header, 'x');
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const std::vector<std::string> answers = {
+      head + "4;x=" + filler + "\r\nmine\r\n0\r\n\r\n",
+      head + "4\r\nmine\r\n0\r\nX-Trailer: " + filler + "\r\n\r\n",
+      interim + Answer(kOwnId, "mine")};
+  for (const std::string& answer : answers) {
+    INFO(answer.substr(0, 120));
+    std::vector<std::string> pieces;
+    for (std::size_t at = 0; at < answer.size(); at += 1000) {
+      pieces.push_back(answer.substr(at, 1000));
+    }
+    CHECK(ReadPieces(Expect(true), pieces).step == ReadStep::kFailed);
+  }
+}
+
 }  // namespace
 }  // namespace almondlink::server
