--- a/libs/relay/src/serving/target_pool.cc
+++ b/libs/relay/src/serving/target_pool.cc
@@ -36,7 +36,7 @@
 TargetExchange TargetPool::TakeIdle(Millis now, const TargetRequest& request) {
   std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
   for (std::size_t index = idle.size(); index-- > 0;) {
-    const TargetExchange candidate = idle[index];
+    TargetExchange candidate = idle[index];
     const auto place = idle.begin() + static_cast<std::ptrdiff_t>(index);
     if (!candidate->IsOpen() || now >= candidate->IdleUntil()) {
       idle.erase(place);
@@ -59,7 +59,7 @@
 TargetExchange TargetPool::Send(Millis now,
                                 TargetRequest request,
                                 TargetEvents events) {
-  const TargetExchange idle = this->TakeIdle(now, request);
+  TargetExchange idle = this->TakeIdle(now, request);
   if (idle != nullptr) {
     idle->Use(std::move(request), std::move(events));
     return idle;
--- a/libs/relay/tests/scripted_target.cc
+++ b/libs/relay/tests/scripted_target.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <memory>
@@ -15,10 +16,10 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-const HeaderNames kNames = {"Request-Id",      "Deadline-Ms",   "Caller-Service",
-                            "Target-Instance", "Response-Seal", "Not-Executed",
-                            "Instance-Id",     "Tenant",        "Server-Limit",
-                            "Server-Leaving"};
+const HeaderNames kNames = {
+    "Request-Id",    "Deadline-Ms",   "Caller-Service", "Target-Instance",
+    "Response-Seal", "Not-Executed",  "Instance-Id",    "Tenant",
+    "Server-Limit",  "Server-Leaving"};
 
 }  // namespace
 
@@ -29,7 +30,7 @@
       return {};
     }
   }
-  const std::string head = this->buffer.substr(0, end + 4);
+  std::string head = this->buffer.substr(0, end + 4);
   this->buffer.erase(0, end + 4);
   return head;
 }
@@ -85,8 +86,8 @@
 
 ScriptedTarget::ScriptedTarget(Script script_in)
     : script(std::move(script_in)),
-      acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                   0)),
+      acceptor(loop,
+               Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
       thread([this]() { this->Accept(); }) {}
 
 ScriptedTarget::~ScriptedTarget() {
@@ -170,8 +171,8 @@
     result->was_sent = was_sent;
     result->is_over = true;
   };
-  *exchange = this->pool.Send(BootTimeNow(), std::move(request),
-                              std::move(events));
+  *exchange =
+      this->pool.Send(BootTimeNow(), std::move(request), std::move(events));
   const Millis until = BootTimeNow() + wait;
   while (!result->is_over && BootTimeNow() < until) {
     this->Run(Millis{5});
@@ -183,6 +184,8 @@
 }
 
 void PoolDriver::Run(Millis time) {
+  // Without open work the loop would return at once.
+  const auto work = boost::asio::make_work_guard(this->loop);
   this->loop.restart();
   this->loop.run_for(std::chrono::milliseconds(time.count));
 }
--- a/libs/relay/tests/target_broken_answer_test.cc
+++ b/libs/relay/tests/target_broken_answer_test.cc
@@ -41,14 +41,13 @@
   for (const Size& size : kSizes) {
     INFO(size.first << " of " << size.whole << " bytes");
     const std::string body = MakeBody(size.whole);
-    const ScriptedTarget target(
-        [&](ScriptedConnection& connection, int /*number*/) {
-          const std::string id = IdIn(connection.ReadHead());
-          connection.Send(
-              MakeSuccess(id, kUntilClose, body.substr(0, size.first)));
-          std::this_thread::sleep_for(milliseconds(100));
-          connection.Reset();
-        });
+    const ScriptedTarget target([&](ScriptedConnection& connection,
+                                    int /*number*/) {
+      const std::string id = IdIn(connection.ReadHead());
+      connection.Send(MakeSuccess(id, kUntilClose, body.substr(0, size.first)));
+      std::this_thread::sleep_for(milliseconds(100));
+      connection.Reset();
+    });
     for (int i = 0; i < 5; ++i) {
       PoolDriver driver(target);
       const ExchangeResult result = driver.Send(
@@ -68,13 +67,12 @@
   const std::string chunked =
       "Transfer-Encoding: chunked\r\n\r\n4e20\r\n" + body + "\r\n0\r\n\r\n";
   const std::vector<std::string> answers = {
-      MakeSuccess("up", length, body),
-      MakeSuccess("up", kUntilClose, body),
+      MakeSuccess("up", length, body), MakeSuccess("up", kUntilClose, body),
       "HTTP/1.1 200 OK\r\nRequest-Id: up\r\nResponse-Seal: s\r\n" + chunked};
   for (const std::string& answer : answers) {
     const std::size_t head = answer.find("\r\n\r\n") + 4;
-    const std::size_t cuts[] = {0,         1,         20,
-                                head - 2,  head,      head + 1,
+    const std::size_t cuts[] = {0,         1,           20,
+                                head - 2,  head,        head + 1,
                                 head + 10, head + 5000, answer.size() - 1};
     for (const std::size_t cut : cuts) {
       INFO(answer.substr(0, head) << "cut at " << cut);
@@ -100,19 +98,18 @@
   for (const Size& size : kSizes) {
     INFO(size.first << " of " << size.whole << " bytes");
     const std::string body = MakeBody(size.whole);
-    const ScriptedTarget target(
-        [&](ScriptedConnection& connection, int /*number*/) {
-          const std::string id = IdIn(connection.ReadHead());
-          connection.Send(
-              MakeSuccess(id, kUntilClose, body.substr(0, size.first)));
-          std::this_thread::sleep_for(milliseconds(1800));
-          if (!connection.ReadBody(kUpload)) {
-            return;
-          }
-          connection.Send(body.substr(size.first));
-          connection.ShutdownSend();
-          connection.ReadHead();
-        });
+    const ScriptedTarget target([&](ScriptedConnection& connection,
+                                    int /*number*/) {
+      const std::string id = IdIn(connection.ReadHead());
+      connection.Send(MakeSuccess(id, kUntilClose, body.substr(0, size.first)));
+      std::this_thread::sleep_for(milliseconds(1800));
+      if (!connection.ReadBody(kUpload)) {
+        return;
+      }
+      connection.Send(body.substr(size.first));
+      connection.ShutdownSend();
+      connection.ReadHead();
+    });
     PoolDriver driver(target);
     const ExchangeResult result = driver.Send(
         "up", MakeTargetRequest("up", kUpload), Millis{8000}, false);
--- a/libs/relay/tests/target_reuse_test.cc
+++ b/libs/relay/tests/target_reuse_test.cc
@@ -36,29 +36,28 @@
 
 TEST_CASE("a late copy of an answer is not taken for that to a second send") {
   const std::string id = "pay1";
+  const std::string echo = "Request-Id: " + id + "\r\n";
+  const std::string not_run = echo + "Not-Executed: 1\r\n";
+  const std::string no_body = "Content-Length: 0\r\n\r\n";
   const std::vector<std::string> firsts = {
       MakeRefusal(id),
-      "HTTP/1.1 429 Too Many Requests\r\nRequest-Id: pay1\r\nNot-Executed: "
-      "1\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: pay1\r\n"
-      "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 429 Too Many\r\n" + not_run + no_body,
+      "HTTP/1.1 421 Misdirected\r\n" + echo + no_body,
       MakeSuccess(id, kFourBytes, "1st!"),
-      "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: pay1\r\n"
-      "Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 103 Early Hints\r\nRequest-Id: pay1\r\n\r\n" +
-          MakeRefusal(id)};
+      "HTTP/1.1 500 Error\r\n" + echo + "Response-Seal: s\r\n" + no_body,
+      "HTTP/1.1 103 Early Hints\r\n" + echo + "\r\n" + MakeRefusal(id)};
   for (const std::string& first : firsts) {
     for (const bool is_repeatable : {false, true}) {
       INFO(first << "repeatable " << is_repeatable);
       std::atomic<int> requests{0};
       const ScriptedTarget target(RepeatLate(first, requests));
       PoolDriver driver(target);
-      const ExchangeResult refused = driver.Send(id, MakeTargetRequest(id),
-                                                 Millis{5000}, is_repeatable);
+      const ExchangeResult refused =
+          driver.Send(id, MakeTargetRequest(id), Millis{5000}, is_repeatable);
       REQUIRE(refused.is_over);
       REQUIRE(refused.head.has_value());
-      const ExchangeResult second = driver.Send(id, MakeTargetRequest(id),
-                                                Millis{5000}, is_repeatable);
+      const ExchangeResult second =
+          driver.Send(id, MakeTargetRequest(id), Millis{5000}, is_repeatable);
       REQUIRE(second.IsWholeSuccess());
       REQUIRE(second.body == "last");
       REQUIRE(requests == 2);
@@ -83,9 +82,10 @@
 TEST_CASE("a request without an id shares its connection with no other") {
   // Nothing would tell a late copy of its answer from that to another one.
   std::atomic<int> requests{0};
-  const ScriptedTarget target(RepeatLate(
-      "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-      requests));
+  const ScriptedTarget target(
+      RepeatLate("HTTP/1.1 400 Bad Request\r\nNot-Executed: "
+                 "1\r\nContent-Length: 0\r\n\r\n",
+                 requests));
   PoolDriver driver(target);
   REQUIRE(driver.Send("", MakeTargetRequest("")).head->status == 400);
   const ExchangeResult next = driver.Send("pay1", MakeTargetRequest("pay1"));
