--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -20,9 +20,9 @@
 /// bytes, because such bytes belong to no request. A target may repeat an
 /// answer late, when the next one is due; its id tells which request it belongs
 /// to, but not which send of that request. So a connection never carries two
-/// requests with the same id. Long answers are passed on
-/// in parts as they arrive; reading pauses while too much of them has not been
-/// consumed.
+/// requests with the same id. Interim answers and late ones are dropped up to a
+/// bound. Long answers are passed on in parts as they arrive; reading pauses
+/// while too much of them has not been consumed.
 namespace almondlink::relay {
 
 /// One request to the target.
@@ -69,8 +69,8 @@
   /// changed.
   void SetAddress(const boost::asio::ip::tcp::endpoint& address);
 
-  /// Sends a request on an idle or a new connection. Events come from the event
-  /// loop, never from within this call.
+  /// Sends a request on an idle connection that has not carried its id, or on a
+  /// new one. Events come from the event loop, never from within this call.
   TargetExchange Send(Millis now, TargetRequest request, TargetEvents events);
 
   /// Cancels an exchange by closing its connection; no event follows.
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -243,9 +243,6 @@
   }
 }
 
-/// Drops what was read of an answer to another request, or of an interim one.
-/// False if the answer to this request cannot follow, or the target has sent
-/// too much before it.
 bool TargetConnection::Skip(AnswerRelation relation, std::size_t bytes) {
   std::string().swap(this->parser->body);
   this->skipped += bytes;
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -15,14 +15,15 @@
 
 /// What an answer is to the request that waits for one.
 enum class AnswerRelation {
-  /// Its head has not been read.
+  /// Its head has not been read to the end.
   kUnknown,
+  /// It is the answer that the request waits for.
   kOwn,
-  /// An interim answer, after which the final one follows.
+  /// It is an interim answer; the final one follows.
   kInterim,
-  /// It has the id of another request; it may be a late second copy.
+  /// It has the id of another request and may be a late copy of an answer.
   kOther,
-  /// No request can be told to be the one that it answers.
+  /// It has neither that id nor the marks of a valid answer.
   kInvalid,
 };
 
@@ -56,6 +57,7 @@
   Millis IdleSince() const { return this->idle_since; }
 
  private:
+  /// Gives a long request as long for acknowledgements as its caller waits.
   void SetAckTimeout();
   void Write();
   void Read();
@@ -66,7 +68,10 @@
   bool IsOfThisRequest() const;
   /// What the parsed head is to the current request.
   AnswerRelation Relation() const;
+  /// Whether the parsed head states that the request has not run.
   bool IsRefusal() const;
+  /// Drops `bytes` that were read of an answer which is not due. False if the
+  /// answer to this request cannot follow, or too much came before it.
   bool Skip(AnswerRelation relation, std::size_t bytes);
   void Deliver(bool is_complete);
   void Complete();
@@ -88,7 +93,7 @@
   bool is_reading = false;
   bool is_streaming = false;
   bool has_skipped_answer = false;
-  /// Bytes of answers that were skipped in the current exchange.
+  /// Bytes of answers that were not due, in the current exchange.
   std::size_t skipped = 0;
   /// A write has failed. It may have taken the socket's error, which the kernel
   /// reports once; the reads that follow see a regular end of the stream.
