Refusals by a target are told apart by their id and by their connection

The log lines of the incident could not tell a refusal that names its request from one that does not, nor what its connection had carried. New: E642, the counter target_refusals_total and the field refused of E603 and E604. No decision changes.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -106,9 +106,10 @@
 constexpr Event kEventOutcomeUnknown{602, Level::kWarning, "outcome-unknown",
                                      Volume::kLost};
 /// An attempt failed for the reason `after`, and another one follows.
+/// `refused=yes`: the target answered that it did not run the request.
 constexpr Event kEventSentAgain{603, Level::kInfo, "sent-again",
                                 Volume::kFailure};
-/// An attempt failed and none follows.
+/// An attempt failed and none follows. `refused` as in 603.
 constexpr Event kEventAttemptFailed{604, Level::kInfo, "attempt-failed",
                                     Volume::kFailure};
 /// At the node beside the target: a call was not sent (`sent=no`) or broke
@@ -260,6 +261,11 @@
 /// at entry. Logged when it begins, ends or changes by a tenth.
 constexpr Event kEventRootsNotCarried{641, Level::kInfo, "roots-not-carried",
                                       Volume::kRare};
+/// At the node beside the target: it refused the request with `status` and
+/// without the id of the request, on a connection that had carried `carried`
+/// others, so the refusal may belong to one of those.
+constexpr Event kEventRefusalUnnamed{642, Level::kInfo, "refusal-unnamed",
+                                     Volume::kRoutine};
 
 }  // namespace almondlink
 
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -104,6 +104,10 @@
   std::uint64_t calls = 0;
   std::uint64_t answered = 0;
   std::uint64_t refused_by_target = 0;
+  /// Of them, those without the id of their request: on a connection that had
+  /// carried no other request, and on one that had.
+  std::uint64_t refused_unnamed_first = 0;
+  std::uint64_t refused_unnamed_later = 0;
   std::uint64_t not_sent = 0;
   /// Of them, those that were beyond the target's rate limit.
   std::uint64_t rate_limited = 0;
@@ -237,6 +241,7 @@
   using CallKey = std::pair<LinkId, std::uint32_t>;
   using CallPointer = std::shared_ptr<Call>;
 
+  void RecordRefusal(const Call& call, const AnswerHead& head);
   void Enqueue(Millis now, const CallPointer& call);
   void Dequeue(const CallPointer& call);
   void CountWait(const CallPointer& call);
--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -80,6 +81,9 @@
   /// reading continue.
   static void OnConsumed(const TargetExchange& exchange, std::size_t bytes);
 
+  /// Number of requests that the connection of the exchange carried before it.
+  static std::size_t CarriedBefore(const TargetExchange& exchange);
+
   /// Closes idle connections before the target closes them, and ends connection
   /// attempts that time out; call a few times a second.
   void Sweep(Millis now);
--- a/libs/relay/src/entry/entry_attempts.cc
+++ b/libs/relay/src/entry/entry_attempts.cc
@@ -342,17 +342,19 @@
   }
   const Event& event = goes_on ? kEventSentAgain : kEventAttemptFailed;
   if (WouldLog(event)) {
-    LogEvent(event,
-             {{"request", call->head.id},
-              {"parent", this->ParentOf(*call)},
-              {"after", ToString(reason)},
-              {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
-              {"target", instance},
-              {"attempts", std::to_string(call->attempts)},
-              {"load", std::to_string(call->load_at_choice)},
-              {"slots", std::to_string(call->slots_at_choice)},
-              {"told_age_ms", std::to_string(call->state_age_at_choice.count)},
-              {"left_ms", std::to_string((call->deadline - now).count)}});
+    LogEvent(
+        event,
+        {{"request", call->head.id},
+         {"parent", this->ParentOf(*call)},
+         {"after", ToString(reason)},
+         {"sent", outcome == CallOutcome::kNotSent ? "no" : "yes"},
+         {"refused", outcome == CallOutcome::kRefusedByTarget ? "yes" : "no"},
+         {"target", instance},
+         {"attempts", std::to_string(call->attempts)},
+         {"load", std::to_string(call->load_at_choice)},
+         {"slots", std::to_string(call->slots_at_choice)},
+         {"told_age_ms", std::to_string(call->state_age_at_choice.count)},
+         {"left_ms", std::to_string((call->deadline - now).count)}});
   }
   if (goes_on) {
     this->Attempt(call);
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -24,6 +25,17 @@
                 static_cast<double>(served.ConnectCount()));
   out.AddSingle("target_sent_total", "counter", "Requests sent to the target.",
                 static_cast<double>(served.Counters().sent));
+  const ServedCounters& counters = served.Counters();
+  const std::uint64_t unnamed =
+      counters.refused_unnamed_first + counters.refused_unnamed_later;
+  out.Begin("target_refusals_total", "counter",
+            "Refusals by the target: with the id of their request, or without "
+            "on a connection that had carried no other request (first) or had "
+            "(later).");
+  out.Add("id=\"named\"",
+          static_cast<double>(counters.refused_by_target - unnamed));
+  out.Add("id=\"first\"", static_cast<double>(counters.refused_unnamed_first));
+  out.Add("id=\"later\"", static_cast<double>(counters.refused_unnamed_later));
   out.Begin("target_limit_per_s", "gauge",
             "Requests per second that the target accepts from all nodes "
             "together; absent while it names no limit.");
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "almondlink/base/event_log.h"
 #include "served_call.h"
 
 namespace almondlink::relay {
@@ -234,7 +235,7 @@
   answer.body = body;
   answer.work_us = static_cast<std::uint32_t>(work.count * kMicrosPerMilli);
   if (has_not_run) {
-    ++this->counters.refused_by_target;
+    this->RecordRefusal(*call, head);
     control::RemoveRefusedDemand(call->info.root_route, this->meter);
   } else {
     ++this->counters.answered;
@@ -263,6 +264,30 @@
   }
 }
 
+/// Counts a refusal by the target. One that names no request and came on a
+/// connection that had carried others is logged, because it may belong to an
+/// earlier exchange.
+void ServedCalls::RecordRefusal(const Call& call, const AnswerHead& head) {
+  ++this->counters.refused_by_target;
+  if (!head.id.empty()) {
+    return;
+  }
+  const std::size_t carried = TargetPool::CarriedBefore(call.exchange);
+  if (carried == 0) {
+    ++this->counters.refused_unnamed_first;
+    return;
+  }
+  ++this->counters.refused_unnamed_later;
+  if (WouldLog(kEventRefusalUnnamed)) {
+    LogEvent(kEventRefusalUnnamed,
+             {{"request", call.request_id},
+              {"instance", call.sent_to.id},
+              {"status", std::to_string(head.status)},
+              {"carried", std::to_string(carried)},
+              {"repeatable", call.is_repeatable ? "yes" : "no"}});
+  }
+}
+
 void ServedCalls::OnPart(const CallPointer& call,
                          const std::string& part,
                          bool is_last,
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -51,6 +51,11 @@
   /// one request on one connection could not be told apart.
   bool HasCarried(const std::string& id) const;
 
+  /// Number of requests that it carried before the current or last one.
+  std::size_t CarriedBefore() const {
+    return this->carried.empty() ? 0 : this->carried.size() - 1;
+  }
+
   bool IsOpen() const { return this->socket.is_open(); }
   bool IsBusy() const { return this->is_busy; }
   Millis IdleUntil() const { return this->idle_until; }
--- a/libs/relay/src/serving/target_pool.cc
+++ b/libs/relay/src/serving/target_pool.cc
@@ -84,6 +84,10 @@
   }
 }
 
+std::size_t TargetPool::CarriedBefore(const TargetExchange& exchange) {
+  return exchange == nullptr ? 0 : exchange->CarriedBefore();
+}
+
 void TargetPool::Sweep(Millis now) {
   std::vector<std::weak_ptr<TargetConnection>> connecting;
   connecting.swap(this->state->connecting);
