Known red: a refusal without an id is believed on a connection that carried others

Stand-in targets send a complete refusal that names no request when they have read the next request on a used connection, and run that request.

--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -51,7 +51,11 @@
       [this](const FakeRequest& request, const IsGone& is_gone) {
         return this->React(request, is_gone);
       },
-      [this](const FakeHead& head) { return this->ReactToHead(head); });
+      [this](const FakeHead& head) { return this->ReactToHead(head); },
+      [this]() {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->stray_bytes;
+      });
 }
 
 std::string FakeInstance::Id() {
@@ -157,6 +161,11 @@
   this->rate_limit = text;
 }
 
+void FakeInstance::SetStrayBytes(const std::string& bytes) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->stray_bytes = bytes;
+}
+
 /// Fields that stand in all its answers.
 std::string FakeInstance::Notices() {
   const std::lock_guard<std::mutex> lock(this->mutex);
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -111,6 +111,9 @@
   void SetWork(int milliseconds) { this->work_ms = milliseconds; }
   /// Text of the rate limit in all its answers; empty: it names none.
   void SetRateLimit(const std::string& text);
+  /// Bytes that belong to no request: sent when a request has been read on a
+  /// connection that has carried another one, before it runs. Empty: none.
+  void SetStrayBytes(const std::string& bytes);
   /// Whether all its answers state that it is leaving.
   void SetSaysLeaving(bool says_leaving_in) {
     this->says_leaving = says_leaving_in;
@@ -157,6 +160,7 @@
   std::unique_ptr<FakeServer> server;
   std::string id;
   std::string rate_limit;
+  std::string stray_bytes;
   std::thread life;
 };
 
--- a/standins/fake_server.cc
+++ b/standins/fake_server.cc
@@ -33,9 +33,11 @@
 
 FakeServer::FakeServer(int port,
                        FakeHandler handler_in,
-                       FakeBodyHandler body_handler_in)
+                       FakeBodyHandler body_handler_in,
+                       FakeStrayBytes stray_bytes_in)
     : handler(std::move(handler_in)),
       body_handler(std::move(body_handler_in)),
+      stray_bytes(std::move(stray_bytes_in)),
       acceptor(loop,
                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
                              static_cast<std::uint16_t>(port))),
@@ -81,6 +83,7 @@
   boost::beast::flat_buffer buffer;
   boost::system::error_code error;
   bool is_silent = false;
+  bool is_first = true;
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none);
@@ -128,6 +131,10 @@
       return;
     }
     const FakeRequest request = parser.release();
+    if (!std::exchange(is_first, false) && this->stray_bytes != nullptr) {
+      boost::asio::write(connection.socket,
+                         boost::asio::buffer(this->stray_bytes()), error);
+    }
     const int handle = connection.socket.native_handle();
     const Reaction reaction =
         this->handler(request, [handle]() { return IsClosedByPeer(handle); });
--- a/standins/fake_server.h
+++ b/standins/fake_server.h
@@ -62,13 +62,18 @@
 using FakeBodyHandler =
     std::function<std::optional<BodyReaction>(const FakeHead& head)>;
 
+/// Returns bytes that belong to no request. They are written when a request has
+/// been read that is not the first of its connection, before it is handled.
+using FakeStrayBytes = std::function<std::string()>;
+
 /// A blocking HTTP/1.1 server for stand-ins: a thread for each connection, and
 /// full power over the bytes. The handler is called by many threads.
 class FakeServer {
  public:
   FakeServer(int port,
              FakeHandler handler,
-             FakeBodyHandler body_handler = nullptr);
+             FakeBodyHandler body_handler = nullptr,
+             FakeStrayBytes stray_bytes = nullptr);
   /// Closes all connections and joins the threads.
   ~FakeServer();
   FakeServer(const FakeServer&) = delete;
@@ -81,6 +86,7 @@
 
   FakeHandler handler;
   FakeBodyHandler body_handler;
+  FakeStrayBytes stray_bytes;
   boost::asio::io_context loop;
   boost::asio::ip::tcp::acceptor acceptor;
   std::mutex mutex;
