A request that must not run twice is the first one on its connection

Callers saw requests that may run once run twice, and requests run after their 503. Cause: a refusal without the id of its request was taken for the answer to whatever its connection carried at that moment. Nothing in such an answer tells whose it is, so the connection has to: what arrives on one that has carried no other request is that request's answer. The age of an idle connection no longer matters to such requests.

--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -21,9 +21,12 @@
 /// bytes, because such bytes belong to no request. A target may repeat an
 /// answer late, when the next one is due; its id tells which request it belongs
 /// to, but not which send of that request. So a connection never carries two
-/// requests with the same id. Interim answers and late ones are dropped up to a
-/// bound. Long answers are passed on in parts as they arrive; reading pauses
-/// while too much of them has not been consumed.
+/// requests with the same id. A refusal may lack the id, and bytes of an
+/// earlier exchange may look like one: a request that must not run twice has a
+/// connection that has carried no other, where each answer is its own. Interim
+/// answers and late ones are dropped up to a bound. Long answers are passed on
+/// in parts as they arrive; reading pauses while too much of them has not been
+/// consumed.
 namespace almondlink::relay {
 
 /// One request to the target.
@@ -32,8 +35,8 @@
   /// Serialized head and body.
   std::string bytes;
   bool is_head_method = false;
-  /// Whether the request may be sent again. If not, an idle connection is
-  /// reused only if it was in use very recently.
+  /// Whether the request may be sent again. If not, it is the first one on its
+  /// connection.
   bool is_repeatable = true;
   /// How long its caller still waits. A target may leave the body of a long
   /// request unread for as long.
@@ -70,8 +73,9 @@
   /// changed.
   void SetAddress(const boost::asio::ip::tcp::endpoint& address);
 
-  /// Sends a request on an idle connection that has not carried its id, or on a
-  /// new one. Events come from the event loop, never from within this call.
+  /// Sends a repeatable request on an idle connection that has not carried its
+  /// id, or on a new one, and any other request on a new one. Events come from
+  /// the event loop, never from within this call.
   TargetExchange Send(Millis now, TargetRequest request, TargetEvents events);
 
   /// Cancels an exchange by closing its connection; no event follows.
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -38,6 +38,9 @@
 /// Requests after which a connection is closed. It bounds the memory for the
 /// ids that the connection has carried to 1 KiB.
 constexpr std::size_t kMaxCarried = 256;
+/// A connection that was opened for a request that must not run twice is kept
+/// for others only while fewer than this number are idle.
+constexpr std::size_t kMaxIdleForNew = 4;
 constexpr std::uint32_t kFirstSuccess = 200;
 constexpr std::uint32_t kFirstRedirect = 300;
 constexpr std::uint32_t kMisdirected = 421;
@@ -330,7 +333,10 @@
 
 void TargetConnection::BecomeIdle() {
   const std::shared_ptr<TargetPool::State> shared = this->pool.lock();
-  if (shared == nullptr) {
+  const bool is_wanted =
+      shared != nullptr &&
+      (this->request.is_repeatable || shared->idle.size() < kMaxIdleForNew);
+  if (!is_wanted) {
     this->Close();
     return;
   }
@@ -342,9 +348,8 @@
   // exchange.
   std::string().swap(this->input);
   this->request = {};
-  this->idle_since = BootTimeNow();
   this->idle_until =
-      this->idle_since + (stated > 0 ? Millis{stated} : kDefaultIdleTime);
+      BootTimeNow() + (stated > 0 ? Millis{stated} : kDefaultIdleTime);
   shared->idle.push_back(this->shared_from_this());
   this->Read();
 }
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -59,7 +59,6 @@
   bool IsOpen() const { return this->socket.is_open(); }
   bool IsBusy() const { return this->is_busy; }
   Millis IdleUntil() const { return this->idle_until; }
-  Millis IdleSince() const { return this->idle_since; }
 
  private:
   /// Gives a long request as long for acknowledgements as its caller waits.
@@ -108,7 +107,6 @@
   /// Hashes of the ids of all requests that were sent on this connection.
   std::vector<std::uint32_t> carried;
   Millis opened;
-  Millis idle_since;
   Millis idle_until;
 };
 
--- a/libs/relay/src/serving/target_pool.cc
+++ b/libs/relay/src/serving/target_pool.cc
@@ -9,14 +9,6 @@
 
 namespace almondlink::relay {
 
-namespace {
-
-/// A request that must not run twice reuses only a connection that was in use
-/// this recently: the target may be closing an older one at this moment.
-constexpr Millis kMaxIdleSingleUse{1000};
-
-}  // namespace
-
 TargetPool::TargetPool(boost::asio::io_context& loop, const HeaderNames& names)
     : state(std::make_shared<State>(loop, names)) {}
 
@@ -34,6 +26,9 @@
 /// Removes the most recently used idle connection that the request may be sent
 /// on and returns it; null if there is none.
 TargetExchange TargetPool::TakeIdle(Millis now, const TargetRequest& request) {
+  if (!request.is_repeatable) {
+    return nullptr;
+  }
   std::vector<std::shared_ptr<TargetConnection>>& idle = this->state->idle;
   for (std::size_t index = idle.size(); index-- > 0;) {
     TargetExchange candidate = idle[index];
@@ -43,11 +38,6 @@
       candidate->Close();
       continue;
     }
-    if (!request.is_repeatable &&
-        now - candidate->IdleSince() > kMaxIdleSingleUse) {
-      // Those before it have been idle for longer.
-      return nullptr;
-    }
     if (!candidate->HasCarried(request.id)) {
       idle.erase(place);
       return candidate;
--- a/test/process/relay_unnamed_refusal_test.cc
+++ b/test/process/relay_unnamed_refusal_test.cc
@@ -66,7 +66,7 @@
 };
 
 TEST_CASE("a refusal that names no request says nothing of a later one") {
-  Pair pair(33400, "unnamed-refusal");
+  Pair pair(31800, "unnamed-refusal");
   const std::vector<std::string> refusals = {
       MakeAnswer(503, "Not-Executed: 1\r\n", ""),
       MakeAnswer(429, "Not-Executed: 1\r\n", ""),
@@ -92,7 +92,7 @@
 }
 
 TEST_CASE("a request whose own answer never comes is not called unrun") {
-  Pair pair(33440, "unnamed-refusal-hang");
+  Pair pair(31840, "unnamed-refusal-hang");
   pair.SendAll("warm");
   for (int node = 0; node < 2; ++node) {
     pair.cluster.Instance(node).SetStrayBytes(
@@ -111,7 +111,7 @@
 TEST_CASE("a refusal without an id keeps its promise at a busy target") {
   // The refused requests follow others that were served, so connections to the
   // targets are open and have been used.
-  Pair pair(33480, "unnamed-refusal-true");
+  Pair pair(31880, "unnamed-refusal-true");
   for (int round = 0; round < 5; ++round) {
     const std::string name = std::to_string(round) + "-";
     for (int node = 0; node < 2; ++node) {
