--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -248,10 +248,13 @@
     return reaction;
   }
   const InstanceFault now = this->fault;
-  if (now == InstanceFault::kShed || now == InstanceFault::kShedTwice) {
-    reaction.bytes =
-        MakeAnswer(503, "Not-Executed: 1\r\n" + this->Notices(), "");
-    if (now == InstanceFault::kShedTwice) {
+  const bool is_named = now == InstanceFault::kShedNamedTwice;
+  const bool is_twice = is_named || now == InstanceFault::kShedTwice;
+  if (now == InstanceFault::kShed || is_twice) {
+    reaction.bytes = MakeAnswer(
+        503, (is_named ? echo : "") + "Not-Executed: 1\r\n" + this->Notices(),
+        "");
+    if (is_twice) {
       reaction.late_bytes = reaction.bytes;
       reaction.pause = kSecondRefusal;
     }
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -50,6 +50,8 @@
   kEndlessExtension,
   /// Ends halfway through the body, and is back under another id.
   kEndInBody,
+  /// Answers with the id that it did not run it, a second time after a pause.
+  kShedNamedTwice,
 };
 
 /// Whether a request ends the instance that runs it.
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -247,6 +247,12 @@
         case 17:
           this->SayLeaving(node);
           break;
+        case 18:
+          this->RefuseUnclearly(node);
+          break;
+        case 19:
+          this->PauseInTurn();
+          break;
         case 14:
           this->Note("a series of policies");
           for (int i = 0; i < kSeries; ++i) {
@@ -326,6 +332,38 @@
     this->cluster.Instance(node).SetFault(fault);
   }
 
+  /// The instances of a service refuse, with or without the id, at times twice,
+  /// and send refusals that belong to no request on used connections.
+  void RefuseUnclearly(int node) {
+    constexpr std::array<InstanceFault, 4> kFaults = {
+        InstanceFault::kNone, InstanceFault::kShed, InstanceFault::kShedTwice,
+        InstanceFault::kShedNamedTwice};
+    const std::array<std::string, 4> strays = {
+        "", standins::MakeAnswer(503, "Not-Executed: 1\r\n", ""),
+        standins::MakeAnswer(400, "Not-Executed: 1\r\n", ""),
+        standins::MakeAnswer(421, "", "")};
+    const std::size_t fault = this->Draw(kFaults.size());
+    const std::size_t stray = this->Draw(strays.size());
+    this->Note("instances of " + this->service_of[node] + " refuse, fault " +
+               std::to_string(fault) + ", stray " + std::to_string(stray));
+    for (const auto& [other, service] : this->service_of) {
+      if (service == this->service_of[node]) {
+        this->cluster.Instance(other).SetFault(kFaults[fault]);
+        this->cluster.Instance(other).SetStrayBytes(strays[stray]);
+      }
+    }
+  }
+
+  /// Short pauses of the nodes, one after the other.
+  void PauseInTurn() {
+    this->Note("all nodes pause in turn");
+    for (int node = 0; node < this->options.nodes; ++node) {
+      this->cluster.Node(node).Signal(SIGSTOP);
+      std::this_thread::sleep_for(Millis(10 + this->Draw(490)));
+      this->cluster.Node(node).Signal(SIGCONT);
+    }
+  }
+
   /// The instance leaves, serves on for a while, and another takes its place.
   void DrainInstance(int node) {
     this->Note("instance " + std::to_string(node) + " leaves");
@@ -396,6 +434,7 @@
     for (int node = 0; node < this->options.nodes; ++node) {
       this->cluster.Proxy(node).SetDelay(0);
       this->cluster.Instance(node).SetFault(InstanceFault::kNone);
+      this->cluster.Instance(node).SetStrayBytes("");
     }
     this->Configure();
   }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -11,7 +11,7 @@
 namespace almondlink::test {
 
 /// Kinds of faults that there are.
-constexpr std::uint64_t kFaultKinds = 18;
+constexpr std::uint64_t kFaultKinds = 20;
 
 struct SoakOptions {
   std::uint64_t seed = 1;
