--- a/test/process/relay_unnamed_refusal_test.cc
+++ b/test/process/relay_unnamed_refusal_test.cc
@@ -35,6 +35,16 @@
     return this->cluster.Instance(0).RunsOf(id) +
            this->cluster.Instance(1).RunsOf(id);
   }
+  /// Refusals that the nodes beside the targets have counted under that label.
+  double Refusals(const std::string& id) {
+    double sum = 0;
+    for (int node = 0; node < 2; ++node) {
+      const MetricsText read = this->cluster.Metrics(node);
+      REQUIRE(read.fault.empty());
+      sum += read.Sum("almondlink_target_refusals_total", {{"id", id}});
+    }
+    return sum;
+  }
   /// Requests of both kinds from several callers at once. Returns the ids of
   /// those that must not run twice, with the answers.
   std::vector<std::pair<std::string, unsigned>> SendAll(
@@ -89,6 +99,10 @@
     }
     CHECK(served > 0);
   }
+  // The operator sees that such refusals came; the requests that they were
+  // taken for may be repeated.
+  CHECK(pair.Refusals("later") > 0);
+  CHECK(pair.Refusals("first") == 0);
 }
 
 TEST_CASE("a request whose own answer never comes is not called unrun") {
@@ -129,6 +143,7 @@
       CHECK(pair.RunsOf(id) == 0);
     }
   }
+  CHECK(pair.Refusals("first") > 0);
 }
 
 }  // namespace
