--- a/test/process/relay_unnamed_refusal_test.cc
+++ b/test/process/relay_unnamed_refusal_test.cc
@@ -52,6 +52,7 @@
     std::vector<std::vector<std::pair<std::string, unsigned>>> answers(
         kCallers);
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([this, &name, &answers, caller]() {
         for (int i = 0; i < kRequests; ++i) {
