--- a/libs/relay/tests/target_reuse_test.cc
+++ b/libs/relay/tests/target_reuse_test.cc
@@ -93,6 +93,69 @@
   REQUIRE(target.Accepted() == 2);
 }
 
+TEST_CASE(
+    "a request that must not run twice gets no answer of an earlier one") {
+  // Bytes that belong to no request, in each form of a *not run* without an id,
+  // come when the next request has been read and before it is answered.
+  const std::string no_body = "Content-Length: 0\r\n\r\n";
+  const std::string not_run = "Not-Executed: 1\r\n" + no_body;
+  const std::vector<std::string> strays = {
+      "HTTP/1.1 503 Service Unavailable\r\n" + not_run,
+      "HTTP/1.1 429 Too Many\r\n" + not_run,
+      "HTTP/1.1 400 Bad Request\r\n" + not_run,
+      "HTTP/1.1 421 Misdirected\r\n" + no_body,
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n"};
+  for (const std::string& stray : strays) {
+    INFO(stray);
+    std::atomic<int> requests{0};
+    const ScriptedTarget target(
+        [&requests, &stray](ScriptedConnection& connection, int /*number*/) {
+          for (int carried = 0;; ++carried) {
+            const std::string head = connection.ReadHead();
+            if (head.empty()) {
+              return;
+            }
+            ++requests;
+            connection.Send(carried == 0 ? "" : stray);
+            connection.Send(MakeSuccess(IdIn(head), kFourBytes, "paid"));
+          }
+        });
+    PoolDriver driver(target);
+    REQUIRE(driver.Send("get1", MakeTargetRequest("get1")).IsWholeSuccess());
+    for (const std::string id : {"pay1", "pay2", "pay3"}) {
+      const ExchangeResult paid =
+          driver.Send(id, MakeTargetRequest(id), Millis{5000}, false);
+      REQUIRE(paid.IsWholeSuccess());
+      REQUIRE(paid.body == "paid");
+    }
+    REQUIRE(requests == 4);
+  }
+}
+
+TEST_CASE("connections of requests that must not run twice serve others") {
+  const ScriptedTarget target(
+      [](ScriptedConnection& connection, int /*number*/) {
+        while (true) {
+          const std::string head = connection.ReadHead();
+          if (head.empty()) {
+            return;
+          }
+          connection.Send(MakeSuccess(IdIn(head), kFourBytes, "done"));
+        }
+      });
+  PoolDriver driver(target);
+  constexpr int kPairs = 50;
+  for (int i = 0; i < kPairs; ++i) {
+    const std::string pay = "pay" + std::to_string(i);
+    REQUIRE(driver.Send(pay, MakeTargetRequest(pay), Millis{5000}, false)
+                .IsWholeSuccess());
+    const std::string get = "get" + std::to_string(i);
+    REQUIRE(driver.Send(get, MakeTargetRequest(get)).IsWholeSuccess());
+  }
+  // One for each that must not run twice, none for the others.
+  REQUIRE(target.Accepted() == kPairs);
+}
+
 TEST_CASE("connections are still used for many requests") {
   const ScriptedTarget target(
       [](ScriptedConnection& connection, int /*number*/) {
