Levels of accounts are kept from before their homes changed, not after

Cause: a node looked at the set of homes after it had computed the levels of the same tick, so sums that lacked the accounts of the lost home were taken for complete; and a level that was computed from such sums was kept for 2.5 s.

--- a/libs/control/include/almondlink/control/account_shares.h
+++ b/libs/control/include/almondlink/control/account_shares.h
@@ -69,6 +69,13 @@
                       double level,
                       DemandHistogram& demand);
 
+/// Whether a level that was computed at `computed_at` stays in force although
+/// new sums may have arrived. Since the homes changed, at `homes_since`, the
+/// sums may lack the accounts of a lost home. A level computed after that may
+/// lack them too and is not kept. Where homes change all the time, a level is
+/// computed every kMaxDecisionAge. Thread safe.
+bool IsLevelKept(Millis now, Millis homes_since, Millis computed_at);
+
 /// Requests per second of all accounts. Thread safe.
 double TotalDemand(const DemandHistogram& demand);
 
--- a/libs/control/src/account_shares.cc
+++ b/libs/control/src/account_shares.cc
@@ -95,6 +95,11 @@
   bucket.weight += weight;
 }
 
+bool IsLevelKept(Millis now, Millis homes_since, Millis computed_at) {
+  return computed_at < homes_since && now - homes_since <= kMaxDecisionAge &&
+         now - computed_at <= kMaxDecisionAge;
+}
+
 double TotalDemand(const DemandHistogram& demand) {
   double total = 0;
   for (const DemandBucket& bucket : demand.buckets) {
--- a/libs/control/tests/account_shares_test.cc
+++ b/libs/control/tests/account_shares_test.cc
@@ -276,6 +276,23 @@
   REQUIRE(meter.accounts.empty());
 }
 
+// Guards against a level from sums that lack the accounts of a lost home: all
+// accounts were limited to a part of the demand of one of them.
+TEST_CASE("only a level from before the homes changed is kept") {
+  const Millis changed = kStart;
+  const Millis before = changed - Millis{100};
+  REQUIRE(IsLevelKept(changed, changed, before));
+  REQUIRE(IsLevelKept(before + kMaxDecisionAge, changed, before));
+  REQUIRE_FALSE(
+      IsLevelKept(before + kMaxDecisionAge + Millis{1}, changed, before));
+  REQUIRE_FALSE(IsLevelKept(changed + Millis{100}, changed, changed));
+  REQUIRE_FALSE(
+      IsLevelKept(changed + Millis{300}, changed, changed + Millis{200}));
+  // Homes that have not changed for long.
+  REQUIRE_FALSE(
+      IsLevelKept(kStart + Millis{9000}, kStart, kStart + Millis{8900}));
+}
+
 // Guards against a total that is used after the home has gone silent.
 TEST_CASE("a total expires") {
   AccountMeter meter;
--- a/libs/relay/include/almondlink/relay/account_exchange.h
+++ b/libs/relay/include/almondlink/relay/account_exchange.h
@@ -99,7 +99,6 @@
                     const control::ChainAdmission& admission,
                     const control::DecisionSums& totals,
                     Millis totals_age);
-  bool IsHeld(Millis now, const ClassLevel& level) const;
   std::uint32_t CountAbove(Millis now, std::uint32_t route, double level) const;
   void Report(Millis now, const control::ChainAdmission& admission);
   void SendReport(Millis now,
--- a/libs/relay/src/exchange/account_exchange.cc
+++ b/libs/relay/src/exchange/account_exchange.cc
@@ -69,7 +69,8 @@
                                    Millis totals_age) {
   std::map<std::uint32_t, ClassLevel> current;
   for (const auto& [route, level] : this->levels) {
-    if (this->IsHeld(now, level)) {
+    if (control::IsLevelKept(now, this->quotas.LenderSetSince(),
+                             level.computed_at)) {
       current.emplace(route, level);
     }
   }
@@ -91,14 +92,6 @@
   this->levels = std::move(current);
 }
 
-/// Whether a level remains in force although new sums may have arrived: homes
-/// have changed, and the sums may lack their accounts. Where homes change all
-/// the time, a level is computed every kMaxDecisionAge.
-bool AccountExchange::IsHeld(Millis now, const ClassLevel& level) const {
-  return now - this->quotas.LenderSetSince() <= control::kMaxDecisionAge &&
-         now - level.computed_at <= control::kMaxDecisionAge;
-}
-
 std::uint32_t AccountExchange::CountAbove(Millis now,
                                           std::uint32_t route,
                                           double level) const {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -356,10 +356,11 @@
     if (this->loads.Tick(now, this->MakeState())) {
       this->peers.AnnounceState();
     }
+    // Ahead of the decisions: the levels of accounts depend on who lends.
+    this->entry.Quotas().Tick(now);
     this->decisions.Tick(now, [this]() { return this->MakeDecisions(); });
     this->entry.UpdateAdmission(now);
     this->UpdateQueueOrder();
-    this->entry.Quotas().Tick(now);
     this->entry.Quarantine().Tick(now);
     this->AddSlotTime();
     FlushLog();
