Log what an acknowledged leave rests on and what a node was told of leaves

A request that reached a target after its acknowledged leave could not be traced: a node did not log that it acknowledged a leave, what would keep the leave if the process ended, what other nodes told it at its start, and why the target is in its state. E643 tells the first two and is flushed before the answer, since the line matters most when the process is killed next; E644 tells what a node is told of earlier leaves; E611 has the cause of the state. No decision is changed.

Reports and leaves of a node move to a file of their own.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -140,6 +140,8 @@
                                   Volume::kRare};
 /// The instance beside this node is new, changed, or leaves. `born` is its
 /// start time; another start time under the same id is another incarnation.
+/// `cause` is what changed the state: `report`, `leave`, `answer` (the target
+/// said so in an answer) or `peer` (another node remembers the leave).
 constexpr Event kEventInstance{611, Level::kInfo, "instance", Volume::kRare};
 /// A link to another node is usable and its first state was received.
 constexpr Event kEventPeerSeen{612, Level::kInfo, "peer-seen", Volume::kRare};
@@ -266,6 +268,16 @@
 /// others, so the refusal may belong to one of those.
 constexpr Event kEventRefusalUnnamed{642, Level::kInfo, "refusal-unnamed",
                                      Volume::kRoutine};
+/// The instance was told that its leave is known, `after_ms` after it was
+/// announced by `call` (`report` or `leave`). `basis` is what keeps the leave
+/// if this process ends: `peer` (another node has recorded it) or `none`.
+/// `current=no`: another instance, or none, has reported last.
+constexpr Event kEventLeaveAcknowledged{643, Level::kInfo, "leave-acknowledged",
+                                        Volume::kRare};
+/// This node is told of a leave that was acknowledged before it started;
+/// `source` tells by whom. The instance gets nothing.
+constexpr Event kEventLeaveRemembered{644, Level::kInfo, "leave-remembered",
+                                      Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/control/include/almondlink/control/instance_tracker.h
+++ b/libs/control/include/almondlink/control/instance_tracker.h
@@ -26,6 +26,9 @@
 /// State of the instance beside the node; kNone: none has reported.
 enum class InstancePhase { kNone, kReady, kLeaving };
 
+/// The name of the phase for logs.
+const char* ToString(InstancePhase phase);
+
 /// One incarnation of an instance.
 struct InstanceIncarnation {
   std::string id;
--- a/libs/control/src/instance_tracker.cc
+++ b/libs/control/src/instance_tracker.cc
@@ -111,6 +111,17 @@
 
 }  // namespace
 
+const char* ToString(InstancePhase phase) {
+  switch (phase) {
+    case InstancePhase::kReady:
+      return "ready";
+    case InstancePhase::kLeaving:
+      return "leaving";
+    default:
+      return "none";
+  }
+}
+
 ReportEffect ApplyReport(Millis now,
                          const InstanceReport& report,
                          InstanceTracker& tracker) {
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -148,9 +148,13 @@
   void WriteMetrics(MetricText& out);
 
  private:
+  /// A leave that is not acknowledged yet.
   struct PendingAck {
+    control::InstanceIncarnation instance;
     ReportId report;
-    Millis until;
+    Millis since;
+    /// The call that announced it, for the log.
+    const char* call = "";
     std::function<void()> acknowledge;
   };
 
@@ -164,10 +168,16 @@
   bool OnQuarantineFrame(const PeerLinkPointer& link, const RawFrame& frame);
   bool OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnPeerConnected(const PeerPointer& peer);
-  void AcknowledgeLeave(std::function<void()> acknowledge);
+  void AcknowledgeLeave(const control::InstanceIncarnation& instance,
+                        const char* call,
+                        std::function<void()> acknowledge);
   void RunPendingAcks(Millis now, const std::optional<ReportId>& seen);
-  void ApplyLeave(const control::InstanceIncarnation& start);
-  void LogInstance() const;
+  void ApplyLeave(const control::InstanceIncarnation& start, const char* cause);
+  void OnRememberedInstance(const InstanceRecord& record);
+  void LogInstance(const char* cause) const;
+  void LogAcknowledged(Millis now,
+                       const PendingAck& pending,
+                       const char* basis) const;
   void LogLimit() const;
   void LogLimitUsage(const LimitUsage& usage) const;
   void ScheduleTick();
--- a/libs/relay/src/node_target_events.cc
+++ b/libs/relay/src/node_target_events.cc
@@ -13,10 +13,6 @@
 
 constexpr double kMillisPerSecond = 1000;
 
-const char* NameOf(control::InstancePhase phase) {
-  return phase == control::InstancePhase::kReady ? "ready" : "leaving";
-}
-
 std::string ToText(const std::optional<double>& number) {
   return number.has_value() ? std::to_string(*number) : std::string();
 }
@@ -82,25 +78,14 @@
     LogEvent(kEventTargetSaysLeaving,
              {{"instance", start.id},
               {"born", std::to_string(start.started_at)},
-              {"reported", NameOf(tracker.phase)}});
+              {"reported", ToString(tracker.phase)}});
     // Announced ahead of the answer on each link, so every node that passes
     // the answer on knows of the leave.
-    this->ApplyLeave(start);
+    this->ApplyLeave(start, "answer");
   };
   return events;
 }
 
-void RelayNode::LogInstance() const {
-  const control::InstanceTracker& tracker = this->served.Ledger();
-  LogEvent(kEventInstance,
-           {{"instance", tracker.current.incarnation.id},
-            {"born", std::to_string(tracker.current.incarnation.started_at)},
-            {"service", tracker.current.service},
-            {"state", NameOf(tracker.phase)},
-            {"capacity", std::to_string(tracker.current.capacity)},
-            {"sequence", std::to_string(tracker.current.sequence)}});
-}
-
 void RelayNode::LogLimit() const {
   LogEvent(kEventTargetLimit,
            {{"instance", this->served.Ledger().current.incarnation.id},
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -18,8 +18,6 @@
 /// caller connections.
 constexpr std::uint32_t kPeerTicks = 2;
 constexpr std::uint32_t kIdleTicks = 10;
-/// Maximum wait for another node to confirm that it has recorded a drain.
-constexpr Millis kConfirmWait{300};
 /// Callers keep connecting after the stop signal until two of their health
 /// checks, one a second, have failed. The target keeps serving for most of that
 /// time; then the stop is announced to other nodes.
@@ -112,12 +110,7 @@
     this->ApplyPolicy(this->hooks.parse_policy(text), text, "peer");
   };
   events.on_remembered_instance = [this](const InstanceRecord& record) {
-    if (record.state == InstanceState::kDraining &&
-        this->served.RestoreDraining({record.instance, record.started_at}) ==
-            control::ReportEffect::kChanged) {
-      this->LogInstance();
-      this->peers.AnnounceState();
-    }
+    this->OnRememberedInstance(record);
   };
   events.on_remembered_limit =
       [this](const control::InstanceIncarnation& incarnation, double per_s) {
@@ -241,75 +234,6 @@
   return !this->is_stopping && this->entry.Table() != nullptr;
 }
 
-Result<void> RelayNode::OnReport(const control::InstanceReport& report,
-                                 std::function<void()> acknowledge) {
-  const policy::RouteTablePointer& table = this->entry.Table();
-  const bool is_unnamed = table != nullptr && !table->connections.empty() &&
-                          table->connections.count(report.service) == 0;
-  if (is_unnamed) {
-    return Fail(ErrorKind::kBadMessage,
-                "service: " + report.service + " is not in the policy");
-  }
-  const control::ReportEffect effect = this->served.OnReport(report);
-  if (effect == control::ReportEffect::kRefused) {
-    return Fail(ErrorKind::kBadMessage,
-                "service: a running instance cannot change its service");
-  }
-  if (effect == control::ReportEffect::kChanged) {
-    this->LogInstance();
-    this->peers.AnnounceState();
-  }
-  if (report.is_leaving) {
-    this->AcknowledgeLeave(std::move(acknowledge));
-    return {};
-  }
-  acknowledge();
-  return {};
-}
-
-void RelayNode::OnLeave(const control::InstanceIncarnation& start,
-                        std::function<void()> acknowledge) {
-  this->ApplyLeave(start);
-  this->AcknowledgeLeave(std::move(acknowledge));
-}
-
-void RelayNode::ApplyLeave(const control::InstanceIncarnation& start) {
-  if (this->served.OnLeave(start) == control::ReportEffect::kChanged) {
-    this->LogInstance();
-    this->peers.AnnounceState();
-  }
-}
-
-void RelayNode::AcknowledgeLeave(std::function<void()> acknowledge) {
-  PendingAck pending;
-  const control::InstanceReport& current = this->served.Ledger().current;
-  pending.report = {current.incarnation.started_at, current.sequence};
-  pending.until = BootTimeNow() + kConfirmWait;
-  pending.acknowledge = std::move(acknowledge);
-  this->pending_acks.push_back(std::move(pending));
-  this->peers.AnnounceState();
-}
-
-void RelayNode::RunPendingAcks(Millis now,
-                               const std::optional<ReportId>& confirmed) {
-  std::vector<PendingAck> open;
-  open.swap(this->pending_acks);
-  for (PendingAck& pending : open) {
-    // An older node that does not report the start time means the current
-    // instance.
-    const bool is_confirmed =
-        confirmed.has_value() &&
-        pending.report.sequence <= confirmed->sequence &&
-        (confirmed->started_at == 0 ||
-         confirmed->started_at == pending.report.started_at);
-    if (is_confirmed || now >= pending.until) {
-      pending.acknowledge();
-    } else {
-      this->pending_acks.push_back(std::move(pending));
-    }
-  }
-}
-
 void RelayNode::OnPeerConnected(const PeerPointer& peer) {
   this->entry.Quarantine().OnPeerConnected(peer);
   LogEvent(kEventPeerSeen,
