--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -125,6 +125,10 @@
   return this->PortOf(node, kMetricsPort);
 }
 
+int RelayCluster::ReportPort(int node) const {
+  return this->PortOf(node, kReportPort);
+}
+
 std::string RelayCluster::LogPath(int node) const {
   return this->folder + "/node-" + std::to_string(node) + ".log";
 }
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -116,6 +116,8 @@
   MetricsText Metrics(int node);
   int CallerPort(int node) const { return this->PortOf(node, 0); }
   int MetricsPort(int node) const;
+  /// Where the instance beside the node reports itself.
+  int ReportPort(int node) const;
 
   std::string SettingsPath(int node) const;
   std::string LogPath(int node) const;
