--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -141,7 +141,7 @@
 /// The instance beside this node is new, changed, or leaves. `born` is its
 /// start time; another start time under the same id is another incarnation.
 /// `cause` is what changed the state: `report`, `leave`, `answer` (the target
-/// said so in an answer) or `peer` (another node remembers the leave).
+/// said so in an answer) or `earlier` (it left before this node started).
 constexpr Event kEventInstance{611, Level::kInfo, "instance", Volume::kRare};
 /// A link to another node is usable and its first state was received.
 constexpr Event kEventPeerSeen{612, Level::kInfo, "peer-seen", Volume::kRare};
@@ -270,14 +270,27 @@
                                      Volume::kRoutine};
 /// The instance was told that its leave is known, `after_ms` after it was
 /// announced by `call` (`report` or `leave`). `basis` is what keeps the leave
-/// if this process ends: `peer` (another node has recorded it) or `none`.
-/// `current=no`: another instance, or none, has reported last.
+/// if this process ends: the `store`, or `nodes` that have recorded it,
+/// `recorded` of them. `current=no`: another instance, or none, has reported
+/// last.
 constexpr Event kEventLeaveAcknowledged{643, Level::kInfo, "leave-acknowledged",
                                         Volume::kRare};
-/// This node is told of a leave that was acknowledged before it started;
-/// `source` tells by whom. The instance gets nothing.
+/// This node is told of a leave from before it started; `source` tells by whom:
+/// `store` or `peer`. The instance gets nothing.
 constexpr Event kEventLeaveRemembered{644, Level::kInfo, "leave-remembered",
                                       Volume::kRare};
+/// A leave was answered 503, because neither the store nor enough other nodes
+/// (`recorded`) have taken it. The target gets nothing more all the same,
+/// unless this node is lost.
+constexpr Event kEventLeaveNotKept{645, Level::kWarning, "leave-not-kept",
+                                   Volume::kRare};
+/// The leaves from before this start are known, `after_ms` after it, from
+/// `source`: `store`, `peers` (the store did not answer), `reports` (nobody
+/// could tell; the target has proved with its reports that it stays) or
+/// `first-start`. Until then nothing is sent to the target. `held` reports
+/// waited for it.
+constexpr Event kEventEarlierLeavesKnown{646, Level::kInfo,
+                                         "earlier-leaves-known", Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/config/include/almondlink/config/settings.generated.h
+++ b/libs/config/include/almondlink/config/settings.generated.h
@@ -99,6 +99,8 @@
   std::int64_t claim_appends;
   /// How long the log keeps records.
   Millis retention;
+  /// Partitions of each topic; the leaves of targets are spread over them.
+  std::int64_t parts;
 };
 
 /// Section [bundle]: Who may release a bundle.
--- a/libs/config/src/settings.generated.cc
+++ b/libs/config/src/settings.generated.cc
@@ -71,6 +71,7 @@
        SettingSlot{&settings.log.claim_appends}},
       {"log", "retention", "24h", 1000.0, 31536000000.0,
        SettingSlot{&settings.log.retention}},
+      {"log", "parts", "1", 1.0, 100000.0, SettingSlot{&settings.log.parts}},
       {"bundle", "operators", "", 0.0, 1000000000000000.0,
        SettingSlot{&settings.bundle.operators}},
       {"bundle", "signatures", "2", 1.0, 16.0,
--- a/libs/control/include/almondlink/control/instance_tracker.h
+++ b/libs/control/include/almondlink/control/instance_tracker.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 
 #include "almondlink/base/clock.h"
@@ -71,6 +70,23 @@
   std::uint64_t last_sequence = 0;
 };
 
+/// An incarnation that is known to be leaving or gone.
+struct Departure {
+  /// When this node first knew of it.
+  Millis since;
+  /// This node knows of it only from before its own start, so for how long it
+  /// has been leaving is not known.
+  bool is_restored = false;
+  /// Increases with every departure, so that the oldest one can be told.
+  std::uint64_t order = 0;
+};
+
+/// The last report of an incarnation that was replaced.
+struct SupersededReport {
+  std::uint64_t sequence = 0;
+  std::uint64_t order = 0;
+};
+
 /// State of one node. Plain data; one thread at a time.
 struct InstanceTracker {
   InstancePhase phase = InstancePhase::kNone;
@@ -80,12 +96,14 @@
   /// When the current instance was first known to be leaving.
   Millis leaving_since;
   Millis last_report;
-  /// Highest sequence number of incarnations that were replaced.
-  std::map<InstanceIncarnation, std::uint64_t> superseded;
-  /// Incarnations that are known to be leaving or gone.
-  std::set<InstanceIncarnation> departed;
-  /// Of them, those that this node knows of from a peer only.
-  std::set<InstanceIncarnation> restored;
+  /// Last reports of incarnations that were replaced.
+  std::map<InstanceIncarnation, SupersededReport> superseded;
+  /// Incarnations that are known to be leaving or gone. A leave without a start
+  /// time of an instance that has not reported is kept with start time 0, until
+  /// a report tells the incarnation that it meant.
+  std::map<InstanceIncarnation, Departure> departed;
+  /// Increases with every entry of the two.
+  std::uint64_t next_order = 1;
   SkewCandidate skew_candidate;
   /// Share of the reported capacity that is used. Targets slow down when nearly
   /// full (by a third above 95 %), and a new connection may hold a slot
@@ -115,8 +133,8 @@
                         const InstanceIncarnation& incarnation,
                         InstanceTracker& tracker);
 
-/// A peer reported that this incarnation was leaving, possibly before this node
-/// started.
+/// A peer or the store tells that this incarnation was leaving, possibly before
+/// this node started.
 ReportEffect RestoreDeparted(Millis now,
                              const InstanceIncarnation& incarnation,
                              InstanceTracker& tracker);
@@ -125,6 +143,15 @@
 /// since a time that this node does not know.
 bool HasDrained(Millis now, Millis drain_time, const InstanceTracker& tracker);
 
+/// The incarnation that a leave or a report means: without a start time, the
+/// current one of its id.
+InstanceIncarnation ResolveIncarnation(const InstanceIncarnation& incarnation,
+                                       const InstanceTracker& tracker);
+
+/// Whether a report is one of the first of its incarnation, which cannot have
+/// left before.
+bool IsFirstReport(const InstanceReport& report);
+
 /// Whether the current instance may have run requests before this node started:
 /// no instance has reported yet, or the current one had sent reports before its
 /// first one here.
--- a/libs/control/src/instance_tracker.cc
+++ b/libs/control/src/instance_tracker.cc
@@ -17,26 +17,56 @@
 /// node: one report may be lost before the node's port is open.
 constexpr std::uint64_t kMaxFirstSequence = 2;
 
+/// Removes the oldest entries beyond the limit.
 template <typename Entries>
 void TrimToLimit(Entries& entries) {
   while (entries.size() > kMaxRemembered) {
-    entries.erase(entries.begin());
+    entries.erase(std::min_element(entries.begin(), entries.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second.order < b.second.order;
+                                   }));
   }
 }
 
-void RecordDeparted(const InstanceIncarnation& incarnation,
-                    InstanceTracker& tracker) {
-  tracker.departed.insert(incarnation);
+/// The departure of the incarnation, which is entered if it is not known.
+Departure& RecordDeparted(Millis now,
+                          const InstanceIncarnation& incarnation,
+                          InstanceTracker& tracker) {
+  const auto known = tracker.departed.find(incarnation);
+  if (known != tracker.departed.end()) {
+    return known->second;
+  }
+  tracker.departed[incarnation] = Departure{now, false, tracker.next_order++};
   TrimToLimit(tracker.departed);
+  return tracker.departed[incarnation];
+}
+
+/// Whether the incarnation of the report has left. A leave without a start time
+/// that came before any report means the incarnation that reports next, unless
+/// that has only started.
+bool HasDeparted(const InstanceReport& report, InstanceTracker& tracker) {
+  if (tracker.departed.count(report.incarnation) != 0) {
+    return true;
+  }
+  const auto unresolved = tracker.departed.find({report.incarnation.id, 0});
+  if (unresolved == tracker.departed.end() || IsFirstReport(report)) {
+    return false;
+  }
+  tracker.departed[report.incarnation] = unresolved->second;
+  tracker.departed.erase(unresolved);
+  return true;
 }
 
+/// The drain time counts from when the leave was first known, also if other
+/// instances reported meanwhile.
 ReportEffect StartLeaving(Millis now, InstanceTracker& tracker) {
-  RecordDeparted(tracker.current.incarnation, tracker);
+  const Departure& departure =
+      RecordDeparted(now, tracker.current.incarnation, tracker);
   if (tracker.phase == InstancePhase::kLeaving) {
     return ReportEffect::kRefreshed;
   }
   tracker.phase = InstancePhase::kLeaving;
-  tracker.leaving_since = now;
+  tracker.leaving_since = departure.since;
   return ReportEffect::kChanged;
 }
 
@@ -44,7 +74,8 @@
                      const InstanceReport& report,
                      InstanceTracker& tracker) {
   if (tracker.phase != InstancePhase::kNone) {
-    tracker.superseded[tracker.current.incarnation] = tracker.current.sequence;
+    tracker.superseded[tracker.current.incarnation] = {tracker.current.sequence,
+                                                       tracker.next_order++};
     TrimToLimit(tracker.superseded);
   }
   tracker.current = report;
@@ -52,7 +83,7 @@
   tracker.phase = InstancePhase::kReady;
   tracker.last_report = now;
   tracker.skew_candidate = SkewCandidate();
-  if (report.is_leaving || tracker.departed.count(report.incarnation) != 0) {
+  if (HasDeparted(report, tracker) || report.is_leaving) {
     StartLeaving(now, tracker);
   }
   return ReportEffect::kChanged;
@@ -99,7 +130,8 @@
 /// Whether the report is a late one of an incarnation that was replaced.
 bool IsStale(const InstanceReport& report, const InstanceTracker& tracker) {
   const auto known = tracker.superseded.find(report.incarnation);
-  if (known != tracker.superseded.end() && report.sequence <= known->second) {
+  if (known != tracker.superseded.end() &&
+      report.sequence <= known->second.sequence) {
     return true;
   }
   // A later incarnation of the same id has reported before.
@@ -133,7 +165,7 @@
     return Refresh(now, report, tracker);
   }
   if (report.is_leaving) {
-    RecordDeparted(report.incarnation, tracker);
+    RecordDeparted(now, report.incarnation, tracker);
   }
   if (is_same_id) {
     const bool is_later = report.incarnation.started_at > current.started_at &&
@@ -144,8 +176,7 @@
   }
   // A leaving incarnation does not replace a running instance.
   const bool is_other_living =
-      tracker.departed.count(report.incarnation) != 0 &&
-      tracker.phase == InstancePhase::kReady;
+      tracker.phase == InstancePhase::kReady && HasDeparted(report, tracker);
   // An instance that started before the current one, seen late because this
   // node restarted: the current one is still running.
   const bool is_outlived = has_current && report.incarnation.started_at != 0 &&
@@ -160,34 +191,46 @@
 ReportEffect ApplyLeave(Millis now,
                         const InstanceIncarnation& incarnation,
                         InstanceTracker& tracker) {
+  const InstanceIncarnation meant = ResolveIncarnation(incarnation, tracker);
+  RecordDeparted(now, meant, tracker);
   const InstanceIncarnation& current = tracker.current.incarnation;
-  const bool is_current_id =
-      tracker.phase != InstancePhase::kNone && current.id == incarnation.id;
-  RecordDeparted(incarnation, tracker);
   // If a later incarnation leaves, the one known here has ended as well.
-  const bool is_meant = incarnation.started_at == 0 ||
-                        incarnation.started_at >= current.started_at;
-  return is_current_id && is_meant ? StartLeaving(now, tracker)
-                                   : ReportEffect::kIgnored;
+  const bool has_ended = tracker.phase != InstancePhase::kNone &&
+                         current.id == meant.id &&
+                         meant.started_at >= current.started_at;
+  return has_ended ? StartLeaving(now, tracker) : ReportEffect::kIgnored;
 }
 
 ReportEffect RestoreDeparted(Millis now,
                              const InstanceIncarnation& incarnation,
                              InstanceTracker& tracker) {
-  if (tracker.departed.count(incarnation) == 0) {
-    tracker.restored.insert(incarnation);
-    TrimToLimit(tracker.restored);
+  const InstanceIncarnation meant = ResolveIncarnation(incarnation, tracker);
+  if (tracker.departed.count(meant) == 0) {
+    RecordDeparted(now, meant, tracker).is_restored = true;
   }
-  return ApplyLeave(now, incarnation, tracker);
+  return ApplyLeave(now, meant, tracker);
+}
+
+InstanceIncarnation ResolveIncarnation(const InstanceIncarnation& incarnation,
+                                       const InstanceTracker& tracker) {
+  const InstanceIncarnation& current = tracker.current.incarnation;
+  const bool is_current = incarnation.started_at == 0 &&
+                          tracker.phase != InstancePhase::kNone &&
+                          current.id == incarnation.id;
+  return is_current ? current : incarnation;
+}
+
+bool IsFirstReport(const InstanceReport& report) {
+  return report.sequence <= kMaxFirstSequence;
 }
 
 bool HasDrained(Millis now, Millis drain_time, const InstanceTracker& tracker) {
   if (tracker.phase != InstancePhase::kLeaving) {
     return false;
   }
-  const InstanceIncarnation& current = tracker.current.incarnation;
-  const bool is_restored = tracker.restored.count(current) != 0 ||
-                           tracker.restored.count({current.id, 0}) != 0;
+  const auto departure = tracker.departed.find(tracker.current.incarnation);
+  const bool is_restored =
+      departure != tracker.departed.end() && departure->second.is_restored;
   return is_restored || now - tracker.leaving_since > drain_time;
 }
 
--- /dev/null
+++ b/libs/control/src/leave_memory.cc
@@ -0,0 +1,88 @@
+#include "almondlink/control/leave_memory.h"
+
+#include <algorithm>
+
+namespace almondlink::control {
+
+namespace {
+
+/// Time from the start until the records of other nodes are used without the
+/// store's answer. Links to other nodes are complete by then, and most targets
+/// have not sent their first report.
+constexpr Millis kStoreWait{1000};
+/// Time for which reports must go on if nobody can tell of earlier leaves;
+/// longer than a report is delayed.
+constexpr Millis kReportingTime{4000};
+/// Time that the store has to take a leave before the records of other nodes
+/// are enough. An acknowledgement is due within a second.
+constexpr Millis kAckByNodesAfter{500};
+constexpr Millis kRefuseAfter{900};
+/// Nodes that must have recorded a leave that the store has not taken: one of
+/// them may be lost together with this node.
+constexpr std::size_t kMinRecords = 2;
+
+}  // namespace
+
+const char* ToString(LeaveSource source) {
+  switch (source) {
+    case LeaveSource::kFirstStart:
+      return "first-start";
+    case LeaveSource::kStore:
+      return "store";
+    case LeaveSource::kPeers:
+      return "peers";
+    case LeaveSource::kReports:
+      return "reports";
+    default:
+      return "none";
+  }
+}
+
+void RecordHeldReport(Millis now,
+                      const InstanceReport& report,
+                      LeaveMemory& memory) {
+  const bool goes_on = memory.reporting == report.incarnation &&
+                       report.sequence > memory.last_sequence &&
+                       !report.is_leaving;
+  if (!goes_on) {
+    memory.reporting = report.incarnation;
+    memory.first_report = now;
+    memory.is_new_instance = IsFirstReport(report) && !report.is_leaving;
+  }
+  memory.last_report = now;
+  memory.last_sequence = report.sequence;
+}
+
+bool UpdateLeaveMemory(Millis now, LeaveMemory& memory) {
+  const bool must_wait = memory.source != LeaveSource::kNone ||
+                         now - memory.started_at < kStoreWait;
+  if (must_wait) {
+    return false;
+  }
+  const bool is_proved =
+      memory.is_new_instance ||
+      memory.last_report - memory.first_report >= kReportingTime;
+  if (memory.has_peer_record) {
+    memory.source = LeaveSource::kPeers;
+  } else if (is_proved) {
+    memory.source = LeaveSource::kReports;
+  }
+  return memory.source != LeaveSource::kNone;
+}
+
+LeaveAnswer AnswerLeave(Millis now,
+                        const LeaveEvidence& evidence,
+                        std::size_t other_nodes) {
+  if (evidence.is_stored) {
+    return LeaveAnswer::kAcknowledge;
+  }
+  const Millis age = now - evidence.since;
+  const std::size_t needed = std::min(kMinRecords, other_nodes);
+  const bool is_recorded = needed > 0 && evidence.recorded_by.size() >= needed;
+  if (is_recorded && age >= kAckByNodesAfter) {
+    return LeaveAnswer::kAcknowledge;
+  }
+  return age >= kRefuseAfter ? LeaveAnswer::kRefuse : LeaveAnswer::kWait;
+}
+
+}  // namespace almondlink::control
--- a/libs/control/tests/instance_tracker_test.cc
+++ b/libs/control/tests/instance_tracker_test.cc
@@ -1,6 +1,7 @@
 #include "almondlink/control/instance_tracker.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 /// Instances that restart under the same id, and late reports of earlier
 /// incarnations.
@@ -208,5 +209,54 @@
   REQUIRE(HasDrained(Millis{1301}, Millis{1200}, tracker));
 }
 
+/// Guards against a leave that is forgotten because it came without a start
+/// time and before any report.
+TEST_CASE("a leave without a start time means the instance that reports next") {
+  InstanceTracker tracker;
+  ApplyLeave(Millis{0}, {"i-1", 0}, tracker);
+  ApplyReport(Millis{5}, Report(1000, 90), tracker);
+  REQUIRE(tracker.phase == InstancePhase::kLeaving);
+  REQUIRE(tracker.leaving_since == Millis{0});
+  // The next incarnation is open, whichever of its reports comes first.
+  ApplyReport(Millis{9}, Report(2000, 7), tracker);
+  REQUIRE(tracker.phase == InstancePhase::kReady);
+}
+
+TEST_CASE("a leave without a start time spares an instance that has started") {
+  InstanceTracker tracker;
+  RestoreDeparted(Millis{0}, {"i-1", 0}, tracker);
+  ApplyReport(Millis{5}, Report(2000, 1), tracker);
+  REQUIRE(tracker.phase == InstancePhase::kReady);
+}
+
+/// Guards against a drain time that begins anew with each change between two
+/// instances that both leave.
+TEST_CASE("the drain time counts from the first word of a leave") {
+  InstanceTracker tracker;
+  InstanceReport first = Report(0, 5, "i-1");
+  InstanceReport second = Report(0, 5, "i-2");
+  first.is_leaving = true;
+  second.is_leaving = true;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    first.sequence += 1;
+    second.sequence += 1;
+    const Millis now{static_cast<std::int64_t>(i) * 1000};
+    ApplyReport(now, first, tracker);
+    ApplyReport(now + Millis{500}, second, tracker);
+  }
+  REQUIRE(HasDrained(Millis{3501}, Millis{2000}, tracker));
+}
+
+TEST_CASE("the oldest departures are forgotten first") {
+  InstanceTracker tracker;
+  ApplyLeave(Millis{0}, {"z-first", 1}, tracker);
+  for (std::uint64_t i = 0; i < 64; ++i) {
+    ApplyLeave(Millis{1}, {"m-" + std::to_string(i), 1}, tracker);
+  }
+  ApplyLeave(Millis{2}, {"a-last", 1}, tracker);
+  REQUIRE(tracker.departed.count({"z-first", 1}) == 0);
+  REQUIRE(tracker.departed.count({"a-last", 1}) == 1);
+}
+
 }  // namespace
 }  // namespace almondlink::control
--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -10,6 +10,7 @@
 #include "almondlink/control/chain_admission.h"
 #include "almondlink/control/decision_sums.h"
 #include "almondlink/control/demand_meter.h"
+#include "almondlink/control/instance_tracker.h"
 #include "almondlink/control/load_sums.h"
 #include "almondlink/control/quarantine.h"
 #include "almondlink/control/quota_lending.h"
@@ -69,6 +70,10 @@
   /// over all nodes in return.
   kAccountDemand = 27,
   kAccountDemandTotal = 28,
+  /// Latest leaves of targets of the sender, and the confirmation that the
+  /// receiver has recorded them.
+  kLeaves = 29,
+  kLeavesConfirmed = 30,
 };
 
 /// Reported lifecycle state of a target instance. An instance never returns to
@@ -137,19 +142,24 @@
   std::optional<double> known_limit_per_s;
   std::string limited_instance;
   std::uint64_t limited_started_at = 0;
+  /// The sender has received the state of an earlier incarnation of the
+  /// receiver, so `draining_instances` are the leaves that it had then.
+  bool has_earlier_state = false;
 };
 
 /// Protocol versions by the feature that they introduced, and the version of
 /// this node: load frames; requests for a missing policy, which is no longer
 /// pushed to such nodes; loans of quota tokens; exchange of requests that crash
-/// targets; sums of loads; sums for decisions under lasting load.
+/// targets; sums of loads; sums for decisions under lasting load; leaves of all
+/// targets of a node, not only of the current one.
 constexpr std::uint32_t kVersionLoadFrames = 1;
 constexpr std::uint32_t kVersionPolicyPull = 2;
 constexpr std::uint32_t kVersionQuotaLending = 3;
 constexpr std::uint32_t kVersionQuarantine = 4;
 constexpr std::uint32_t kVersionLoadSums = 5;
 constexpr std::uint32_t kVersionDecisionSums = 6;
-constexpr std::uint32_t kProtocolVersion = kVersionDecisionSums;
+constexpr std::uint32_t kVersionLeaves = 7;
+constexpr std::uint32_t kProtocolVersion = kVersionLeaves;
 
 /// State of a node and of the target beside it, as it is reported to other
 /// nodes.
@@ -196,6 +206,13 @@
   std::uint64_t sequence = 0;
 };
 
+/// The latest leaves that a node knows of targets beside it.
+struct LeavesFrame {
+  /// Increases with each leave; 0: none yet.
+  std::uint64_t revision = 0;
+  std::vector<control::InstanceIncarnation> instances;
+};
+
 /// The part of a state that changes with each call. A state takes about 250
 /// bytes, and sending it several times a second on every link was most of the
 /// traffic between nodes; a load takes a third of that.
@@ -466,6 +483,9 @@
 void AppendPing(std::string& out);
 /// Confirms that the sender has recorded the state that includes that report.
 void AppendStateConfirmed(const ReportId& report, std::string& out);
+void Append(const LeavesFrame& frame, std::string& out);
+/// Confirms that the sender has recorded the leaves up to that revision.
+void AppendLeavesConfirmed(std::uint64_t revision, std::string& out);
 void AppendPolicyRequest(std::uint64_t own_version, std::string& out);
 void AppendPolicyVersion(std::uint64_t version, std::string& out);
 void AppendNodes(const std::vector<NodeAddress>& nodes, std::string& out);
@@ -492,6 +512,8 @@
 bool Decode(std::string_view payload, control::DecisionSums& sums);
 bool DecodeCancel(std::string_view payload, std::uint32_t& id);
 bool DecodeStateConfirmed(std::string_view payload, ReportId& report);
+bool Decode(std::string_view payload, LeavesFrame& frame);
+bool DecodeLeavesConfirmed(std::string_view payload, std::uint64_t& revision);
 /// Decodes both kPolicyRequest and kPolicyVersion frames.
 bool DecodePolicyVersion(std::string_view payload, std::uint64_t& version);
 bool DecodeNodes(std::string_view payload, std::vector<NodeAddress>& nodes);
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -128,8 +128,13 @@
   std::function<void(const control::InstanceIncarnation& incarnation,
                      double per_s)>
       on_remembered_limit;
-  /// A peer has recorded the state that includes that report.
-  std::function<void(const ReportId&)> on_state_confirmed;
+  /// A peer that had received the state of an earlier incarnation of this node
+  /// has told all that it recorded of it.
+  std::function<void()> on_earlier_state_told;
+  /// The peer has recorded the leaves of this node up to that revision.
+  std::function<
+      void(LinkId link, const std::string& node, std::uint64_t revision)>
+      on_leaves_confirmed;
   /// A peer knows an earlier incarnation of this node and returns the repeat
   /// counts that it had reported.
   std::function<void(const std::vector<ServiceRepeats>&)> on_previous_repeats;
@@ -137,6 +142,8 @@
   std::function<void(std::uint64_t incarnation)> on_incarnation_changed;
   /// Builds the current state of this node.
   std::function<StateFrame()> make_state;
+  /// The latest leaves of targets of this node.
+  std::function<LeavesFrame()> make_leaves;
   /// The policy in force, in the form that nodes exchange; empty if none.
   std::function<const std::string&()> policy_text;
 };
@@ -166,6 +173,10 @@
   /// links. A load alone is not sent to nodes that receive it with the sums.
   void AnnounceState();
 
+  /// Sends the leaves of targets of this node on all accepted links; a link
+  /// that is accepted later gets them with the first state.
+  void AnnounceLeaves();
+
   /// Sends the load on all accepted links, for a change that callers must know
   /// of.
   void AnnounceLoad();
@@ -260,6 +271,9 @@
   bool OnHello(const HelloFrame& hello);
   bool OnState(const PeerPointer& peer, std::string_view payload);
   bool OnLoad(const PeerPointer& peer, std::string_view payload);
+  bool OnLeaves(const PeerPointer& peer, std::string_view payload);
+  bool OnLeavesConfirmed(LinkId link, std::string_view payload);
+  void RecordLeave(const InstanceRecord& record);
   void RecordDrainingInstance(const PeerPointer& peer);
   static void UpdateIncarnation(std::uint64_t incarnation, Peer& peer);
   void SendState(AcceptedLink& entry);
@@ -304,6 +318,12 @@
   /// Instances of other nodes that were reported as draining, by node; the
   /// latest are last.
   std::map<std::string, std::deque<InstanceRecord>> draining_instances;
+  /// Incarnations of other nodes whose states were received, by node.
+  struct HeardIncarnations {
+    std::uint64_t latest = 0;
+    std::uint64_t earlier = 0;
+  };
+  std::map<std::string, HeardIncarnations> heard;
   /// Links that wait for the policy, and the number of transfers in progress.
   std::deque<LinkId> policy_requests;
   std::uint32_t policy_transfers = 0;
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "almondlink/base/error.h"
 #include "almondlink/base/metrics.h"
 #include "almondlink/control/instance_tracker.h"
+#include "almondlink/control/leave_memory.h"
 #include "almondlink/policy/route_table.h"
 #include "almondlink/relay/caller_listener.h"
 #include "almondlink/relay/decision_exchange.h"
@@ -44,6 +46,9 @@
                      const control::QuarantineRecord& record)>
       on_confirmed;
   std::function<void(const control::RequestDigest& digest)> on_cleared;
+  /// A target leaves: this is to be stored beyond the lifetime of the nodes,
+  /// and OnLeaveStored() to be called then. May be null.
+  std::function<void(const control::InstanceIncarnation& instance)> on_leave;
 };
 
 /// Not thread safe: belongs to one loop.
@@ -65,16 +70,27 @@
                    const std::string& text,
                    const char* source);
 
-  /// A report of the target instance. `acknowledge` is called once the report
-  /// may be acknowledged: a leave is first sent to another node, so that a
-  /// restart of this node does not lose it. Errors: kBadMessage if the service
-  /// is not in the policy or differs from the one the instance started with;
-  /// the report is then ignored.
+  /// Answers a call of the target instance; `is_kept`: the leave that the call
+  /// announced, if any, outlasts this process.
+  using Acknowledge = std::function<void(bool is_kept)>;
+
+  /// A report of the target instance. `acknowledge` is called once: a leave is
+  /// acknowledged when the store or other nodes have it, see
+  /// control/leave_memory.h. Until leaves from before the start are known,
+  /// reports have no effect yet. Errors: kBadMessage if the service is not in
+  /// the policy or differs from the one the instance started with; the report
+  /// is then ignored.
   Result<void> OnReport(const control::InstanceReport& report,
-                        std::function<void()> acknowledge);
+                        Acknowledge acknowledge);
   /// The instance leaves; `acknowledge` as above.
   void OnLeave(const control::InstanceIncarnation& start,
-               std::function<void()> acknowledge);
+               Acknowledge acknowledge);
+  /// The store has taken the leave that `on_leave` passed.
+  void OnLeaveStored(const control::InstanceIncarnation& instance);
+  /// The leaves from before the start that the source knows: all that the store
+  /// has, or none on the first start.
+  void RestoreLeaves(control::LeaveSource source,
+                     const std::vector<control::InstanceIncarnation>& leaves);
 
   /// Merges a stored record of a confirmed query of death.
   void RestoreQuarantine(const control::RequestDigest& digest,
@@ -151,11 +167,27 @@
   /// A leave that is not acknowledged yet.
   struct PendingAck {
     control::InstanceIncarnation instance;
-    ReportId report;
     Millis since;
     /// The call that announced it, for the log.
     const char* call = "";
-    std::function<void()> acknowledge;
+    Acknowledge acknowledge;
+  };
+  /// A report, or a leave, that waits for the leaves from before the start.
+  struct HeldReport {
+    Millis received;
+    control::InstanceReport report;
+    bool is_leave_call = false;
+  };
+  /// A leave as it is announced to other nodes.
+  struct AnnouncedLeave {
+    control::InstanceIncarnation instance;
+    std::uint64_t revision = 0;
+    bool is_stored = false;
+  };
+  /// The latest announcement of leaves that a link has confirmed.
+  struct LeavesConfirmation {
+    std::string node;
+    std::uint64_t revision = 0;
   };
 
   PeerEvents MakePeerEvents();
@@ -168,16 +200,32 @@
   bool OnQuarantineFrame(const PeerLinkPointer& link, const RawFrame& frame);
   bool OnAnswerFrame(const PeerPointer& peer, const RawFrame& frame);
   void OnPeerConnected(const PeerPointer& peer);
+  bool KnowsEarlierLeaves() const;
+  void HoldReport(HeldReport held);
+  void ApplyHeldReports();
+  control::ReportEffect ApplyReport(Millis received,
+                                    const control::InstanceReport& report);
+  void ApplyLeave(Millis received,
+                  const control::InstanceIncarnation& start,
+                  const char* cause);
+  void RestoreLeave(const control::InstanceIncarnation& instance,
+                    const char* source);
+  AnnouncedLeave& AnnounceLeave(const control::InstanceIncarnation& instance);
+  AnnouncedLeave* FindLeave(const control::InstanceIncarnation& instance);
+  LeavesFrame MakeLeaves() const;
   void AcknowledgeLeave(const control::InstanceIncarnation& instance,
                         const char* call,
-                        std::function<void()> acknowledge);
-  void RunPendingAcks(Millis now, const std::optional<ReportId>& seen);
-  void ApplyLeave(const control::InstanceIncarnation& start, const char* cause);
-  void OnRememberedInstance(const InstanceRecord& record);
+                        Acknowledge acknowledge);
+  control::LeaveEvidence EvidenceOf(const PendingAck& pending);
+  void RunPendingAcks(Millis now);
+  void UpdateLeaves(Millis now);
   void LogInstance(const char* cause) const;
-  void LogAcknowledged(Millis now,
-                       const PendingAck& pending,
-                       const char* basis) const;
+  void LogAcknowledgement(Millis now,
+                          const PendingAck& pending,
+                          const control::LeaveEvidence& evidence,
+                          bool is_kept);
+  void LogEarlierLeaves(Millis now) const;
+  void WriteLeaves(MetricText& out) const;
   void LogLimit() const;
   void LogLimitUsage(const LimitUsage& usage) const;
   void ScheduleTick();
@@ -209,6 +257,15 @@
   /// When the policy in force was applied.
   Millis policy_applied_at;
   std::vector<PendingAck> pending_acks;
+  control::LeaveMemory leave_memory;
+  std::deque<HeldReport> held_reports;
+  /// The latest leaves of targets of this node, the latest last, and the number
+  /// of the latest announcement.
+  std::deque<AnnouncedLeave> announced_leaves;
+  std::uint64_t leaves_revision = 0;
+  std::map<LinkId, LeavesConfirmation> leaves_confirmed;
+  /// Leaves that were acknowledged, by what keeps them, and refused.
+  std::map<std::string, std::uint64_t> leave_answers;
   /// Minimum difference between the clocks of a link's ends that was observed
   /// on it; a larger one is the delay of a frame on the link.
   std::map<LinkId, std::int64_t> min_clock_offsets;
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -178,10 +178,13 @@
   /// Cancels all calls of the link.
   void OnLinkClosed(LinkId link);
 
-  /// Applies reports of the target instance; see control/instance_tracker.h.
-  /// RestoreDraining() applies a drain that another node recorded.
-  control::ReportEffect OnReport(const control::InstanceReport& report);
+  /// Applies reports of the target instance that arrived at `received`; see
+  /// control/instance_tracker.h. RestoreDraining() applies a drain from before
+  /// the start of this node.
+  control::ReportEffect OnReport(Millis received,
+                                 const control::InstanceReport& report);
   control::ReportEffect OnLeave(
+      Millis received,
       const control::InstanceIncarnation& incarnation);
   control::ReportEffect RestoreDraining(
       const control::InstanceIncarnation& incarnation);
--- a/libs/relay/src/exchange/peer_state.cc
+++ b/libs/relay/src/exchange/peer_state.cc
@@ -6,14 +6,12 @@
 #include "almondlink/relay/peer_table.h"
 
 /// Exchange of identity, state and load between nodes. PeerTable is implemented
-/// in three files: this one, peer_table.cc (links) and peer_policy.cc
-/// (distribution of the policy).
+/// in four files: this one, peer_table.cc (links), peer_policy.cc (distribution
+/// of the policy) and peer_leaves.cc (leaves of targets).
 namespace almondlink::relay {
 
 namespace {
 
-/// Maximum number of draining instances that are kept for each peer.
-constexpr std::size_t kMaxDrainingInstances = 16;
 /// Number of other nodes named in a hello until `kFirstNodes` were named, and
 /// from then on. A node receives a hello from each node that it meets, so it
 /// learns all n nodes after about log(n) of them; those are met first.
@@ -103,6 +101,10 @@
   const PeerPointer receiver = this->FindPeer(to);
   if (receiver != nullptr) {
     const Peer& peer = *receiver;
+    const auto earlier = this->heard.find(to);
+    hello.has_earlier_state = earlier != this->heard.end() &&
+                              (earlier->second.earlier != 0 ||
+                               earlier->second.latest != peer.node.incarnation);
     hello.shares_link =
         peer.link.get() == &link && this->accepted.count(link.Id()) > 0;
     hello.has_repeat_counts = peer.previous_incarnation != 0
@@ -154,6 +156,9 @@
         {hello.limited_instance, hello.limited_started_at},
         *hello.known_limit_per_s);
   }
+  if (hello.has_earlier_state) {
+    this->events.on_earlier_state_told();
+  }
   return is_raised;
 }
 
@@ -187,6 +192,7 @@
     case FrameType::kLoadTotals:
     case FrameType::kDecisionTotals:
     case FrameType::kAccountDemandTotal:
+    case FrameType::kLeaves:
       return true;
     default:
       return false;
@@ -220,14 +226,11 @@
       }
       return true;
     }
-    case FrameType::kStateConfirmed: {
-      ReportId report;
-      if (!DecodeStateConfirmed(frame.payload, report)) {
-        return false;
-      }
-      this->events.on_state_confirmed(report);
+    case FrameType::kStateConfirmed:
+      // Sent by nodes below kVersionLeaves for the current instance alone.
       return true;
-    }
+    case FrameType::kLeavesConfirmed:
+      return this->OnLeavesConfirmed(link->Id(), frame.payload);
     default:
       return this->events.on_accepted_frame(link, frame);
   }
@@ -253,6 +256,11 @@
   this->ShareAcceptedLink(link, open->second);
   this->SendHello(*link, hello.self.name);
   this->SendState(open->second);
+  const LeavesFrame leaves = this->events.make_leaves();
+  if (leaves.revision > 0) {
+    Append(leaves, link->OutputBuffer());
+    link->ScheduleFlush();
+  }
   return true;
 }
 
@@ -280,6 +288,8 @@
       return this->OnState(peer, frame.payload);
     case FrameType::kLoad:
       return this->OnLoad(peer, frame.payload);
+    case FrameType::kLeaves:
+      return this->OnLeaves(peer, frame.payload);
     case FrameType::kPolicyVersion:
       return this->OnPolicyVersion(peer, frame.payload);
     case FrameType::kNodes:
@@ -327,6 +337,10 @@
     peer->limited_until = Millis{0};
   }
   peer->has_reported = true;
+  HeardIncarnations& known = this->heard[peer->node.name];
+  if (known.latest != peer->node.incarnation) {
+    known = {peer->node.incarnation, known.latest};
+  }
   peer->dial_backoff = Millis{0};
   // The counts of a summed node were received from it as a member, if at all.
   const bool keeps_repeats = state.is_load_summed && peer->has_repeat_counts &&
@@ -356,35 +370,6 @@
   return true;
 }
 
-/// Records a peer's draining instance, so that the peer can restore this state
-/// after a restart.
-void PeerTable::RecordDrainingInstance(const PeerPointer& peer) {
-  if (peer->reported.state != InstanceState::kDraining) {
-    return;
-  }
-  const StateFrame& reported = peer->reported;
-  std::deque<InstanceRecord>& records =
-      this->draining_instances[peer->node.name];
-  const auto known =
-      std::find_if(records.begin(), records.end(),
-                   [&reported](const InstanceRecord& record) {
-                     return record.instance == reported.instance &&
-                            record.started_at == reported.started_at;
-                   });
-  if (known != records.end()) {
-    records.erase(known);
-  }
-  records.push_back(InstanceRecord{peer->node.name, reported.instance,
-                                   reported.sequence, reported.state,
-                                   reported.started_at});
-  if (records.size() > kMaxDrainingInstances) {
-    records.pop_front();
-  }
-  AppendStateConfirmed({reported.started_at, reported.sequence},
-                       peer->link->OutputBuffer());
-  peer->link->ScheduleFlush();
-}
-
 bool PeerTable::OnLoad(const PeerPointer& peer, std::string_view payload) {
   LoadFrame load;
   if (!Decode(payload, load)) {
--- a/libs/relay/src/exchange/peer_state_frames.cc
+++ b/libs/relay/src/exchange/peer_state_frames.cc
@@ -111,6 +111,7 @@
     writer.PutText(frame.limited_instance);
     writer.Put(frame.limited_started_at);
   }
+  writer.PutByte(frame.has_earlier_state ? 1 : 0);
 }
 
 bool Decode(std::string_view payload, HelloFrame& frame) {
@@ -156,6 +157,7 @@
     in.TakeText(frame.limited_instance);
     in.Take(frame.limited_started_at);
   }
+  frame.has_earlier_state = !in.IsAtEnd() && in.TakeByte() != 0;
   return in.IsGood();
 }
 
--- a/libs/relay/src/node_leaves.cc
+++ b/libs/relay/src/node_leaves.cc
@@ -5,19 +5,26 @@
 #include "almondlink/base/event_log.h"
 #include "almondlink/relay/relay_node.h"
 
-/// Reports and leaves of the instance beside the node, and their
-/// acknowledgement.
+/// Reports and leaves of the instance beside the node, their acknowledgement,
+/// and what is known of leaves from before the start.
 namespace almondlink::relay {
 
 namespace {
 
-/// Maximum wait for another node to confirm that it has recorded a drain.
-constexpr Millis kConfirmWait{300};
+/// Leaves that are announced to other nodes; an earlier one is too old for a
+/// report from before it to arrive.
+constexpr std::size_t kMaxAnnounced = 4;
+/// Reports that wait for the leaves from before the start.
+constexpr std::size_t kMaxHeld = 32;
 
 }  // namespace
 
+bool RelayNode::KnowsEarlierLeaves() const {
+  return this->leave_memory.source != control::LeaveSource::kNone;
+}
+
 Result<void> RelayNode::OnReport(const control::InstanceReport& report,
-                                 std::function<void()> acknowledge) {
+                                 Acknowledge acknowledge) {
   const policy::RouteTablePointer& table = this->entry.Table();
   const bool is_unnamed = table != nullptr && !table->connections.empty() &&
                           table->connections.count(report.service) == 0;
@@ -25,86 +32,207 @@
     return Fail(ErrorKind::kBadMessage,
                 "service: " + report.service + " is not in the policy");
   }
-  const control::ReportEffect effect = this->served.OnReport(report);
-  if (effect == control::ReportEffect::kRefused) {
+  const Millis now = BootTimeNow();
+  if (!this->KnowsEarlierLeaves()) {
+    control::RecordHeldReport(now, report, this->leave_memory);
+    this->HoldReport({now, report, /*is_leave_call=*/false});
+  } else if (this->ApplyReport(now, report) ==
+             control::ReportEffect::kRefused) {
     return Fail(ErrorKind::kBadMessage,
                 "service: a running instance cannot change its service");
   }
-  if (effect == control::ReportEffect::kChanged) {
-    this->LogInstance("report");
-    this->peers.AnnounceState();
-  }
   if (report.is_leaving) {
     this->AcknowledgeLeave(report.incarnation, "report",
                            std::move(acknowledge));
     return {};
   }
-  acknowledge();
+  acknowledge(true);
   return {};
 }
 
 void RelayNode::OnLeave(const control::InstanceIncarnation& start,
-                        std::function<void()> acknowledge) {
-  this->ApplyLeave(start, "leave");
+                        Acknowledge acknowledge) {
+  const Millis now = BootTimeNow();
+  if (!this->KnowsEarlierLeaves()) {
+    control::InstanceReport report;
+    report.incarnation = start;
+    this->HoldReport({now, report, /*is_leave_call=*/true});
+  } else {
+    this->ApplyLeave(now, start, "leave");
+  }
   this->AcknowledgeLeave(start, "leave", std::move(acknowledge));
 }
 
-void RelayNode::ApplyLeave(const control::InstanceIncarnation& start,
+void RelayNode::HoldReport(HeldReport held) {
+  this->held_reports.push_back(std::move(held));
+  if (this->held_reports.size() > kMaxHeld) {
+    this->held_reports.pop_front();
+  }
+}
+
+void RelayNode::ApplyHeldReports() {
+  std::deque<HeldReport> held;
+  held.swap(this->held_reports);
+  for (const HeldReport& entry : held) {
+    if (entry.is_leave_call) {
+      this->ApplyLeave(entry.received, entry.report.incarnation, "leave");
+    } else {
+      this->ApplyReport(entry.received, entry.report);
+    }
+  }
+}
+
+control::ReportEffect RelayNode::ApplyReport(
+    Millis received,
+    const control::InstanceReport& report) {
+  const control::ReportEffect effect = this->served.OnReport(received, report);
+  if (effect == control::ReportEffect::kChanged) {
+    this->LogInstance("report");
+    this->peers.AnnounceState();
+  }
+  return effect;
+}
+
+void RelayNode::ApplyLeave(Millis received,
+                           const control::InstanceIncarnation& start,
                            const char* cause) {
-  if (this->served.OnLeave(start) == control::ReportEffect::kChanged) {
+  const control::InstanceIncarnation meant =
+      control::ResolveIncarnation(start, this->served.Ledger());
+  if (this->served.OnLeave(received, meant) ==
+      control::ReportEffect::kChanged) {
     this->LogInstance(cause);
     this->peers.AnnounceState();
   }
+  this->AnnounceLeave(meant);
 }
 
-void RelayNode::OnRememberedInstance(const InstanceRecord& record) {
-  if (record.state != InstanceState::kDraining) {
-    return;
+/// Applies a leave that was acknowledged before this node started.
+void RelayNode::RestoreLeave(const control::InstanceIncarnation& instance,
+                             const char* source) {
+  if (this->FindLeave(instance) == nullptr) {
+    LogEvent(kEventLeaveRemembered,
+             {{"instance", instance.id},
+              {"born", std::to_string(instance.started_at)},
+              {"source", source}});
   }
-  const control::InstanceIncarnation start{record.instance, record.started_at};
-  if (this->served.Ledger().departed.count(start) == 0) {
-    LogEvent(kEventLeaveRemembered, {{"instance", start.id},
-                                     {"born", std::to_string(start.started_at)},
-                                     {"source", "peer"}});
-  }
-  if (this->served.RestoreDraining(start) == control::ReportEffect::kChanged) {
-    this->LogInstance("peer");
+  if (this->served.RestoreDraining(instance) ==
+      control::ReportEffect::kChanged) {
+    this->LogInstance("earlier");
     this->peers.AnnounceState();
   }
+  // The nodes that had recorded it may be lost too.
+  this->AnnounceLeave(instance);
+}
+
+void RelayNode::RestoreLeaves(
+    control::LeaveSource source,
+    const std::vector<control::InstanceIncarnation>& leaves) {
+  for (const control::InstanceIncarnation& instance : leaves) {
+    this->RestoreLeave(instance, control::ToString(source));
+    this->AnnounceLeave(instance).is_stored = true;
+  }
+  if (!this->KnowsEarlierLeaves()) {
+    this->leave_memory.source = source;
+    this->LogEarlierLeaves(BootTimeNow());
+    this->ApplyHeldReports();
+  }
+}
+
+void RelayNode::UpdateLeaves(Millis now) {
+  if (control::UpdateLeaveMemory(now, this->leave_memory)) {
+    this->LogEarlierLeaves(now);
+    this->ApplyHeldReports();
+  }
+  this->RunPendingAcks(now);
+}
+
+RelayNode::AnnouncedLeave* RelayNode::FindLeave(
+    const control::InstanceIncarnation& instance) {
+  const auto found =
+      std::find_if(this->announced_leaves.begin(), this->announced_leaves.end(),
+                   [&instance](const AnnouncedLeave& leave) {
+                     return leave.instance == instance;
+                   });
+  return found == this->announced_leaves.end() ? nullptr : &*found;
+}
+
+RelayNode::AnnouncedLeave& RelayNode::AnnounceLeave(
+    const control::InstanceIncarnation& instance) {
+  if (AnnouncedLeave* const known = this->FindLeave(instance)) {
+    return *known;
+  }
+  this->announced_leaves.push_back({instance, ++this->leaves_revision, false});
+  if (this->announced_leaves.size() > kMaxAnnounced) {
+    this->announced_leaves.pop_front();
+  }
+  this->peers.AnnounceLeaves();
+  return this->announced_leaves.back();
+}
+
+LeavesFrame RelayNode::MakeLeaves() const {
+  LeavesFrame leaves;
+  leaves.revision = this->leaves_revision;
+  for (const AnnouncedLeave& leave : this->announced_leaves) {
+    leaves.instances.push_back(leave.instance);
+  }
+  return leaves;
 }
 
 void RelayNode::AcknowledgeLeave(const control::InstanceIncarnation& instance,
                                  const char* call,
-                                 std::function<void()> acknowledge) {
+                                 Acknowledge acknowledge) {
   PendingAck pending;
-  const control::InstanceReport& current = this->served.Ledger().current;
-  pending.instance = instance;
-  pending.report = {current.incarnation.started_at, current.sequence};
+  pending.instance =
+      control::ResolveIncarnation(instance, this->served.Ledger());
   pending.since = BootTimeNow();
   pending.call = call;
   pending.acknowledge = std::move(acknowledge);
+  const bool is_stored = this->AnnounceLeave(pending.instance).is_stored;
+  if (!is_stored && this->hooks.on_leave != nullptr) {
+    this->hooks.on_leave(pending.instance);
+  }
   this->pending_acks.push_back(std::move(pending));
-  this->peers.AnnounceState();
+  this->RunPendingAcks(BootTimeNow());
+}
+
+void RelayNode::OnLeaveStored(const control::InstanceIncarnation& instance) {
+  if (AnnouncedLeave* const leave = this->FindLeave(instance)) {
+    leave->is_stored = true;
+  }
+  this->RunPendingAcks(BootTimeNow());
+}
+
+control::LeaveEvidence RelayNode::EvidenceOf(const PendingAck& pending) {
+  control::LeaveEvidence evidence;
+  evidence.since = pending.since;
+  const AnnouncedLeave* const leave = this->FindLeave(pending.instance);
+  if (leave == nullptr) {
+    return evidence;
+  }
+  evidence.is_stored = leave->is_stored;
+  for (const auto& [link, confirmation] : this->leaves_confirmed) {
+    if (confirmation.revision >= leave->revision) {
+      evidence.recorded_by.insert(confirmation.node);
+    }
+  }
+  return evidence;
 }
 
-void RelayNode::RunPendingAcks(Millis now,
-                               const std::optional<ReportId>& confirmed) {
+void RelayNode::RunPendingAcks(Millis now) {
+  const std::size_t other_nodes = this->peers.All().size() - 1;
   std::vector<PendingAck> open;
   open.swap(this->pending_acks);
   for (PendingAck& pending : open) {
-    // An older node that does not report the start time means the current
-    // instance.
-    const bool is_confirmed =
-        confirmed.has_value() &&
-        pending.report.sequence <= confirmed->sequence &&
-        (confirmed->started_at == 0 ||
-         confirmed->started_at == pending.report.started_at);
-    if (is_confirmed || now - pending.since >= kConfirmWait) {
-      this->LogAcknowledged(now, pending, is_confirmed ? "peer" : "none");
-      pending.acknowledge();
-    } else {
+    const control::LeaveEvidence evidence = this->EvidenceOf(pending);
+    const control::LeaveAnswer answer =
+        control::AnswerLeave(now, evidence, other_nodes);
+    if (answer == control::LeaveAnswer::kWait) {
       this->pending_acks.push_back(std::move(pending));
+      continue;
     }
+    const bool is_kept = answer == control::LeaveAnswer::kAcknowledge;
+    this->LogAcknowledgement(now, pending, evidence, is_kept);
+    pending.acknowledge(is_kept);
   }
 }
 
@@ -114,23 +242,29 @@
            {{"instance", tracker.current.incarnation.id},
             {"born", std::to_string(tracker.current.incarnation.started_at)},
             {"service", tracker.current.service},
-            {"state", ToString(tracker.phase)},
+            {"state", control::ToString(tracker.phase)},
             {"cause", cause},
             {"capacity", std::to_string(tracker.current.capacity)},
             {"sequence", std::to_string(tracker.current.sequence)}});
 }
 
-void RelayNode::LogAcknowledged(Millis now,
-                                const PendingAck& pending,
-                                const char* basis) const {
+void RelayNode::LogAcknowledgement(Millis now,
+                                   const PendingAck& pending,
+                                   const control::LeaveEvidence& evidence,
+                                   bool is_kept) {
   const control::InstanceTracker& tracker = this->served.Ledger();
   const bool is_current = tracker.phase != control::InstancePhase::kNone &&
                           tracker.current.incarnation.id == pending.instance.id;
-  LogEvent(kEventLeaveAcknowledged,
+  const char* const basis = !is_kept             ? "none"
+                            : evidence.is_stored ? "store"
+                                                 : "nodes";
+  ++this->leave_answers[basis];
+  LogEvent(is_kept ? kEventLeaveAcknowledged : kEventLeaveNotKept,
            {{"instance", pending.instance.id},
             {"born", std::to_string(pending.instance.started_at)},
             {"call", pending.call},
             {"basis", basis},
+            {"recorded", std::to_string(evidence.recorded_by.size())},
             {"current", is_current ? "yes" : "no"},
             {"after_ms", std::to_string((now - pending.since).count)}});
   // The line tells what a later process is bound by, so it must not be lost
@@ -138,4 +272,25 @@
   FlushLog();
 }
 
+void RelayNode::LogEarlierLeaves(Millis now) const {
+  LogEvent(kEventEarlierLeavesKnown,
+           {{"source", control::ToString(this->leave_memory.source)},
+            {"after_ms",
+             std::to_string((now - this->leave_memory.started_at).count)},
+            {"leaves", std::to_string(this->announced_leaves.size())},
+            {"held", std::to_string(this->held_reports.size())}});
+}
+
+void RelayNode::WriteLeaves(MetricText& out) const {
+  out.Begin("leaves_answered_total", "counter",
+            "Leaves of the target that were acknowledged, by what keeps them, "
+            "or refused (none).");
+  for (const auto& [basis, count] : this->leave_answers) {
+    out.Add(MetricLabel("basis", basis), static_cast<double>(count));
+  }
+  out.AddSingle("earlier_leaves_known", "gauge",
+                "Whether the leaves from before the start are known.",
+                this->KnowsEarlierLeaves() ? 1 : 0);
+}
+
 }  // namespace almondlink::relay
--- a/libs/relay/src/node_metrics.cc
+++ b/libs/relay/src/node_metrics.cc
@@ -151,6 +151,7 @@
     out.Add(MetricLabel("service", service), static_cast<double>(count));
   }
   WriteAccountCounts(this->entry.CountsByAccount(), out);
+  this->WriteLeaves(out);
   this->entry.WriteReturns(out);
   WriteRouteDecisions(
       this->entry.RouteDecisions(),
--- a/libs/relay/src/node_target_events.cc
+++ b/libs/relay/src/node_target_events.cc
@@ -81,7 +81,7 @@
               {"reported", ToString(tracker.phase)}});
     // Announced ahead of the answer on each link, so every node that passes
     // the answer on knows of the leave.
-    this->ApplyLeave(start, "answer");
+    this->ApplyLeave(BootTimeNow(), start, "answer");
   };
   return events;
 }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -88,6 +88,7 @@
   };
   events.on_accepted_closed = [this](LinkId link) {
     this->min_clock_offsets.erase(link);
+    this->leaves_confirmed.erase(link);
     this->loads.OnAcceptedClosed(link);
     this->decisions.OnAcceptedClosed(link);
     this->served.OnLinkClosed(link);
@@ -110,14 +111,21 @@
     this->ApplyPolicy(this->hooks.parse_policy(text), text, "peer");
   };
   events.on_remembered_instance = [this](const InstanceRecord& record) {
-    this->OnRememberedInstance(record);
+    if (record.state == InstanceState::kDraining) {
+      this->RestoreLeave({record.instance, record.started_at}, "peer");
+    }
   };
   events.on_remembered_limit =
       [this](const control::InstanceIncarnation& incarnation, double per_s) {
         this->served.RestoreLimit(incarnation, per_s);
       };
-  events.on_state_confirmed = [this](const ReportId& report) {
-    this->RunPendingAcks(BootTimeNow(), report);
+  events.on_earlier_state_told = [this]() {
+    this->leave_memory.has_peer_record = true;
+  };
+  events.on_leaves_confirmed = [this](LinkId link, const std::string& node,
+                                      std::uint64_t revision) {
+    this->leaves_confirmed[link] = {node, revision};
+    this->RunPendingAcks(BootTimeNow());
   };
   events.on_previous_repeats =
       [this](const std::vector<ServiceRepeats>& repeats) {
@@ -128,6 +136,7 @@
     this->hooks.on_incarnation_changed(incarnation);
   };
   events.make_state = [this]() { return this->MakeState(); };
+  events.make_leaves = [this]() { return this->MakeLeaves(); };
   events.policy_text = [this]() -> const std::string& {
     return this->policy_text;
   };
@@ -139,6 +148,7 @@
   BOOST_LEAF_CHECK(this->peers.Listen());
   this->peers.AnnounceState();
   this->started_at = BootTimeNow();
+  this->leave_memory.started_at = this->started_at;
   this->ScheduleTick();
   return {};
 }
@@ -271,7 +281,7 @@
   this->served.Sweep(now);
   this->MoveWaiting(now);
   this->LogQueue(now);
-  this->RunPendingAcks(now, std::nullopt);
+  this->UpdateLeaves(now);
   this->AnnounceErrorRate();
   if (this->ticks % kPeerTicks == 0) {
     this->served.SetServiceMeans(now, this->ServiceMeans(now));
--- a/libs/relay/src/serving/served_notices.cc
+++ b/libs/relay/src/serving/served_notices.cc
@@ -16,10 +16,11 @@
 }  // namespace
 
 control::ReportEffect ServedCalls::OnReport(
+    Millis received,
     const control::InstanceReport& report) {
   const control::InstanceIncarnation before = this->tracker.current.incarnation;
   const control::ReportEffect effect =
-      control::ApplyReport(BootTimeNow(), report, this->tracker);
+      control::ApplyReport(received, report, this->tracker);
   const control::InstanceIncarnation& current =
       this->tracker.current.incarnation;
   const bool is_back = this->is_target_gone &&
@@ -42,8 +43,9 @@
 }
 
 control::ReportEffect ServedCalls::OnLeave(
+    Millis received,
     const control::InstanceIncarnation& incarnation) {
-  return control::ApplyLeave(BootTimeNow(), incarnation, this->tracker);
+  return control::ApplyLeave(received, incarnation, this->tracker);
 }
 
 control::ReportEffect ServedCalls::RestoreDraining(
--- a/libs/relay/tests/peer_frames_test.cc
+++ b/libs/relay/tests/peer_frames_test.cc
@@ -127,17 +127,23 @@
   hello.protocol_version = kProtocolVersion;
   hello.draining_instances = {{"n2", "i-1", 3, InstanceState::kDraining, 77}};
   hello.known_incarnation = 99;
+  hello.has_earlier_state = true;
   std::string bytes;
   Append(hello, bytes);
   HelloFrame read;
   REQUIRE(Decode(Only(bytes).payload, read));
+  REQUIRE(read.has_earlier_state);
   REQUIRE(read.protocol_version == kProtocolVersion);
   REQUIRE(read.known_incarnation == 99);
   REQUIRE(read.draining_instances[0].started_at == 77);
   // Hellos without start times, and without a protocol version.
   std::string_view older = Only(bytes).payload;
   // The previous incarnation, its empty list of repeats, whether that is known,
-  // whether the link is shared and whether a limit is known are last.
+  // whether the link is shared, whether a limit is known and whether an earlier
+  // state is are last.
+  older.remove_suffix(1);
+  REQUIRE(Decode(older, read));
+  REQUIRE_FALSE(read.has_earlier_state);
   older.remove_suffix(1);
   REQUIRE(Decode(older, read));
   REQUIRE_FALSE(read.known_limit_per_s.has_value());
@@ -189,6 +195,26 @@
   REQUIRE(number.sequence == 9);
 }
 
+TEST_CASE("leaves are unchanged by a round trip") {
+  LeavesFrame leaves;
+  leaves.revision = 300;
+  leaves.instances = {{"i-1", 1ULL << 41}, {"i-2", 0}};
+  std::string bytes;
+  Append(leaves, bytes);
+  LeavesFrame read;
+  REQUIRE(Decode(Only(bytes).payload, read));
+  REQUIRE(read.revision == 300);
+  REQUIRE(read.instances == leaves.instances);
+  for (std::size_t size = 0; size < Only(bytes).payload.size(); ++size) {
+    REQUIRE_FALSE(Decode(Only(bytes).payload.substr(0, size), read));
+  }
+  bytes.clear();
+  AppendLeavesConfirmed(300, bytes);
+  std::uint64_t revision = 0;
+  REQUIRE(DecodeLeavesConfirmed(Only(bytes).payload, revision));
+  REQUIRE(revision == 300);
+}
+
 TEST_CASE("the run counts of a call are unchanged by a round trip") {
   AnswerFrame answer;
   answer.id = 3;
