--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -96,6 +96,10 @@
   std::uint64_t started_at = 0;
 };
 
+/// Incarnations are times in milliseconds; a number above this one was not
+/// written by a node, and one more than it may not be a number at all.
+constexpr std::uint64_t kMaxIncarnation = 1ULL << 53;
+
 /// Address and incarnation of a node.
 struct NodeAddress {
   std::string name;
--- a/libs/relay/src/exchange/peer_state.cc
+++ b/libs/relay/src/exchange/peer_state.cc
@@ -131,7 +131,9 @@
 /// Returns true if this node raised its incarnation because the sender knows a
 /// later one.
 bool PeerTable::OnHello(const HelloFrame& hello) {
-  const bool is_raised = hello.known_incarnation > this->self->node.incarnation;
+  const bool is_raised =
+      hello.known_incarnation > this->self->node.incarnation &&
+      hello.known_incarnation <= kMaxIncarnation;
   if (is_raised) {
     // The clock went back between the previous start and this one.
     this->SetIncarnation(hello.known_incarnation + 1);
