--- a/libs/relay/tests/target_broken_answer_test.cc
+++ b/libs/relay/tests/target_broken_answer_test.cc
@@ -92,6 +92,40 @@
   }
 }
 
+/// Guards against an answer that ends within its head and reaches the caller as
+/// a complete success with an empty or short body.
+TEST_CASE("an answer that ends within its head is not an answer") {
+  const std::string body = "body";
+  const std::vector<std::string> answers = {
+      MakeSuccess("up", "Content-Length: 4\r\n", body),
+      MakeSuccess("up", kUntilClose, body),
+      MakeSuccess("up", "Transfer-Encoding: chunked\r\n", "")};
+  for (const std::string& answer : answers) {
+    const std::size_t head = answer.find("\r\n\r\n") + 4;
+    for (std::size_t cut = 0; cut < head; ++cut) {
+      for (const bool resets : {false, true}) {
+        INFO(answer.substr(0, head)
+             << "cut at " << cut << ", reset " << resets);
+        const ScriptedTarget target(
+            [&](ScriptedConnection& connection, int /*number*/) {
+              connection.ReadHead();
+              connection.Send(answer.substr(0, cut));
+              if (resets) {
+                connection.Reset();
+              }
+            });
+        PoolDriver driver(target);
+        const ExchangeResult result =
+            driver.Send("up", MakeTargetRequest("up", 0));
+        REQUIRE(result.is_over);
+        REQUIRE_FALSE(result.IsWholeSuccess());
+        const bool is_unknown = result.is_broken || result.was_sent;
+        REQUIRE(is_unknown);
+      }
+    }
+  }
+}
+
 TEST_CASE("a target may answer early and read a long body late") {
   // The time for which it reads nothing is beyond the limit on
   // acknowledgements that holds for short requests.
--- a/libs/server/tests/target_client_test.cc
+++ b/libs/server/tests/target_client_test.cc
@@ -34,6 +34,9 @@
   std::string surplus;
   int pause_ms = 0;
   bool returns_ids = true;
+  /// The connection ends after `surplus`, with a reset or a regular close.
+  bool ends = false;
+  bool resets = false;
 };
 
 std::string WithId(std::string text, const std::string& id) {
@@ -98,6 +101,10 @@
           std::chrono::milliseconds(this->script.pause_ms));
       asio::write(socket, asio::buffer(WithId(this->script.surplus, id)),
                   error);
+      if (this->script.ends) {
+        socket.set_option(asio::socket_base::linger(this->script.resets, 0));
+        return;
+      }
     }
   }
 
@@ -193,6 +200,43 @@
   }
 }
 
+/// Guards against an answer that ends within its head and reaches the caller as
+/// a complete success with an empty or short body.
+TEST_CASE("an answer that ends within its head is not an answer") {
+  const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\n" + kId + "Content-Length: 5\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + kId + "Transfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + kId + "Connection: close\r\n\r\n",
+  };
+  for (const std::string& head : heads) {
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      for (const bool resets : {false, true}) {
+        INFO(head << "cut at " << cut << ", reset " << resets);
+        Script script;
+        script.first = head.substr(0, cut);
+        script.ends = true;
+        script.resets = resets;
+        asio::io_context loop;
+        ScriptedTarget target(script);
+        TargetClientConfig config;
+        config.address = {"127.0.0.1", kPort};
+        TargetClient client(loop, config);
+        // On a connection that has carried an answer, and on a new one.
+        for (const char* before : {"/before", ""}) {
+          if (*before != '\0') {
+            REQUIRE(BodyOf(Exchange(loop, client, "GET", before)) == before);
+          }
+          const TargetAnswer answer = Exchange(loop, client, "POST", "/first");
+          // The request was sent, so its outcome is not known.
+          const bool is_unknown = answer.error == ErrorKind::kTargetLost ||
+                                  answer.error == ErrorKind::kTargetBadAnswer;
+          REQUIRE(is_unknown);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("a request that was sent is not called not run by a late timer") {
   // The loop stands still until the connect and its time limit are both due.
   constexpr int kRounds = 20;
--- a/test/fuzz/decoders.cc
+++ b/test/fuzz/decoders.cc
@@ -15,6 +15,7 @@
 #include "libs/server/src/answer_reader.h"
 #include "platform/guilty_records.h"
 #include "platform/instance_reports.h"
+#include "platform/leave_records.h"
 #include "platform/operator_config.h"
 #include "platform/store_client.h"
 
@@ -150,6 +151,7 @@
     FrameTrip<relay::TrialResponseFrame>(frame->payload);
     FrameTrip<relay::TrialEndedFrame>(frame->payload);
     FrameTrip<relay::LoadReportFrame>(frame->payload);
+    FrameTrip<relay::LeavesFrame>(frame->payload);
     FrameTrip<relay::AccountDemandFrame>(frame->payload);
     FrameTrip<relay::AccountDemandTotalFrame>(frame->payload);
     SumsTrip(frame->payload);
@@ -275,6 +277,17 @@
         return true;
       },
       [](const Failure&) { return false; });
+  HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(leave, platform::DecodeLeave({"leave", text}));
+        BOOST_LEAF_AUTO(again,
+                        platform::DecodeLeave(platform::EncodeLeave(leave)));
+        if (again.instance != leave.instance || again.node != leave.node) {
+          __builtin_trap();
+        }
+        return true;
+      },
+      [](const Failure&) { return false; });
   platform::NewestRead newest;
   platform::DecodeNewest(text, newest);
   platform::RecordsRead records;
