Earlier leaves are announced once, not once for each node that tells of them

Other nodes keep up to 16 leaves of a node and each returns them when it links again; a node announces its latest 4. A leave that is known is not taken again, and what other nodes tell is announced with the next tick, all at once.

--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -210,6 +210,7 @@
                   const char* cause);
   void RestoreLeave(const control::InstanceIncarnation& instance,
                     const char* source);
+  AnnouncedLeave& AddLeave(const control::InstanceIncarnation& instance);
   AnnouncedLeave& AnnounceLeave(const control::InstanceIncarnation& instance);
   AnnouncedLeave* FindLeave(const control::InstanceIncarnation& instance);
   LeavesFrame MakeLeaves() const;
@@ -263,6 +264,7 @@
   /// of the latest announcement.
   std::deque<AnnouncedLeave> announced_leaves;
   std::uint64_t leaves_revision = 0;
+  std::uint64_t sent_leaves_revision = 0;
   std::map<LinkId, LeavesConfirmation> leaves_confirmed;
   /// Leaves that were acknowledged, by what keeps them, and refused.
   std::map<std::string, std::uint64_t> leave_answers;
--- a/libs/relay/src/node_leaves.cc
+++ b/libs/relay/src/node_leaves.cc
@@ -109,19 +109,23 @@
 /// Applies a leave that was acknowledged before this node started.
 void RelayNode::RestoreLeave(const control::InstanceIncarnation& instance,
                              const char* source) {
-  if (this->FindLeave(instance) == nullptr) {
-    LogEvent(kEventLeaveRemembered,
-             {{"instance", instance.id},
-              {"born", std::to_string(instance.started_at)},
-              {"source", source}});
+  const control::InstanceIncarnation meant =
+      control::ResolveIncarnation(instance, this->served.Ledger());
+  if (this->served.Ledger().departed.count(meant) != 0) {
+    return;
   }
+  LogEvent(kEventLeaveRemembered,
+           {{"instance", instance.id},
+            {"born", std::to_string(instance.started_at)},
+            {"source", source}});
   if (this->served.RestoreDraining(instance) ==
       control::ReportEffect::kChanged) {
     this->LogInstance("earlier");
     this->peers.AnnounceState();
   }
-  // The nodes that had recorded it may be lost too.
-  this->AnnounceLeave(instance);
+  // The nodes that had recorded it may be lost too. All that other nodes tell
+  // is announced at once: in a large fleet each of them tells the same.
+  this->AddLeave(instance);
 }
 
 void RelayNode::RestoreLeaves(
@@ -129,7 +133,7 @@
     const std::vector<control::InstanceIncarnation>& leaves) {
   for (const control::InstanceIncarnation& instance : leaves) {
     this->RestoreLeave(instance, control::ToString(source));
-    this->AnnounceLeave(instance).is_stored = true;
+    this->AddLeave(instance).is_stored = true;
   }
   if (!this->KnowsEarlierLeaves()) {
     this->leave_memory.source = source;
@@ -143,6 +147,10 @@
     this->LogEarlierLeaves(now);
     this->ApplyHeldReports();
   }
+  if (this->sent_leaves_revision != this->leaves_revision) {
+    this->sent_leaves_revision = this->leaves_revision;
+    this->peers.AnnounceLeaves();
+  }
   this->RunPendingAcks(now);
 }
 
@@ -156,7 +164,8 @@
   return found == this->announced_leaves.end() ? nullptr : &*found;
 }
 
-RelayNode::AnnouncedLeave& RelayNode::AnnounceLeave(
+/// Adds a leave to those that are announced with the next tick.
+RelayNode::AnnouncedLeave& RelayNode::AddLeave(
     const control::InstanceIncarnation& instance) {
   if (AnnouncedLeave* const known = this->FindLeave(instance)) {
     return *known;
@@ -165,10 +174,19 @@
   if (this->announced_leaves.size() > kMaxAnnounced) {
     this->announced_leaves.pop_front();
   }
-  this->peers.AnnounceLeaves();
   return this->announced_leaves.back();
 }
 
+RelayNode::AnnouncedLeave& RelayNode::AnnounceLeave(
+    const control::InstanceIncarnation& instance) {
+  AnnouncedLeave& leave = this->AddLeave(instance);
+  if (this->sent_leaves_revision != this->leaves_revision) {
+    this->sent_leaves_revision = this->leaves_revision;
+    this->peers.AnnounceLeaves();
+  }
+  return leave;
+}
+
 LeavesFrame RelayNode::MakeLeaves() const {
   LeavesFrame leaves;
   leaves.revision = this->leaves_revision;
