A request that waited for its connection is not sent after the drain time

A request is taken from its queue until 0.6 of the drain time after a leave, and may wait up to 1 s for a new connection; with a drain time of 2 s it could reach the target 0.2 s after it. When the connection is open the node asks again whether the target may get requests, and otherwise tells that it was not sent.

--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -53,6 +53,10 @@
   std::function<void(std::string part, bool is_last, bool is_broken)> on_part;
   /// No valid answer. `was_sent`: at least one byte of the request was written.
   std::function<void(CallReason reason, bool was_sent)> on_failed;
+  /// Asked when a new connection is open, before anything is written: the
+  /// target may have drained while the request waited for it. If false, the
+  /// exchange fails with kDraining. Null: the request is sent.
+  std::function<bool()> may_send;
 };
 
 class TargetConnection;
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -172,6 +172,10 @@
       this->OnPart(open, part, is_last, is_broken);
     }
   };
+  target_events.may_send = [this, sent_to = call->sent_to]() {
+    return sent_to == this->tracker.current.incarnation &&
+           !this->IsPastDrain(BootTimeNow());
+  };
   target_events.on_failed = [this, weak](CallReason reason, bool was_sent) {
     const CallPointer open = weak.lock();
     if (open == nullptr) {
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -76,6 +76,10 @@
       self->Fail(CallReason::kConnectFailed);
       return;
     }
+    if (self->events.may_send && !self->events.may_send()) {
+      self->Fail(CallReason::kDraining);
+      return;
+    }
     self->ack_timeout = kAckTimeout;
     ConfigureSocket(self->socket, kAckTimeout);
     self->Use(std::move(self->request), std::move(self->events));
--- a/libs/relay/tests/scripted_target.cc
+++ b/libs/relay/tests/scripted_target.cc
@@ -171,6 +171,7 @@
     result->was_sent = was_sent;
     result->is_over = true;
   };
+  events.may_send = [this]() { return this->may_send; };
   *exchange =
       this->pool.Send(BootTimeNow(), std::move(request), std::move(events));
   const Millis until = BootTimeNow() + wait;
--- a/libs/relay/tests/scripted_target.h
+++ b/libs/relay/tests/scripted_target.h
@@ -107,6 +107,8 @@
                       const std::string& bytes,
                       Millis wait = Millis{5000},
                       bool is_repeatable = true);
+  /// What later exchanges are told when their new connection is open.
+  void SetMaySend(bool may_send_in) { this->may_send = may_send_in; }
   /// Runs the loop for that time.
   void Run(Millis time);
   TargetPool& Pool() { return this->pool; }
@@ -114,6 +116,7 @@
  private:
   boost::asio::io_context loop;
   TargetPool pool;
+  bool may_send = true;
 };
 
 /// A request with its id; `body_size` bytes follow the head.
--- a/libs/relay/tests/target_reuse_test.cc
+++ b/libs/relay/tests/target_reuse_test.cc
@@ -175,5 +175,28 @@
   REQUIRE(target.Accepted() <= 3);
 }
 
+/// Guards against a request that reaches a target after its drain time, because
+/// it waited for its connection until then.
+TEST_CASE("a request whose connection opens too late is not sent") {
+  std::atomic<int> requests{0};
+  const ScriptedTarget target(
+      [&](ScriptedConnection& connection, int /*number*/) {
+        while (!connection.ReadHead().empty()) {
+          ++requests;
+          connection.Send(MakeSuccess("late", "Content-Length: 1\r\n", "b"));
+        }
+      });
+  PoolDriver driver(target);
+  driver.SetMaySend(false);
+  const ExchangeResult result = driver.Send("late", MakeTargetRequest("late"));
+  REQUIRE(result.is_over);
+  REQUIRE(result.failure == CallReason::kDraining);
+  REQUIRE_FALSE(result.was_sent);
+  driver.Run(Millis{50});
+  REQUIRE(requests == 0);
+  driver.SetMaySend(true);
+  REQUIRE(driver.Send("late", MakeTargetRequest("late")).IsWholeSuccess());
+}
+
 }  // namespace
 }  // namespace almondlink::relay
