--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -253,6 +253,9 @@
         case 19:
           this->PauseInTurn();
           break;
+        case 20:
+          this->LeaveAmongKills(node);
+          break;
         case 14:
           this->Note("a series of policies");
           for (int i = 0; i < kSeries; ++i) {
@@ -385,6 +388,34 @@
     this->cluster.ReplaceInstance(node, this->NextInstance(node));
   }
 
+  /// The instance leaves, nodes are killed, and a report from before the leave
+  /// arrives late. The store is whole: without it an acknowledged leave may be
+  /// lost with all nodes.
+  void LeaveAmongKills(int node) {
+    this->Note("instance " + std::to_string(node) + " leaves among kills");
+    this->cluster.Store().SetFaults(StoreFault::kNone);
+    standins::FakeInstance& leaving = this->cluster.Instance(node);
+    leaving.SetReports(false);
+    const unsigned status = leaving.Leave();
+    const auto acknowledged = Clock::now();
+    for (std::uint64_t kills = 1 + this->Draw(3); kills > 0; --kills) {
+      this->Draw(3) == 0 ? this->KillMany(this->Draw(2) == 0)
+                         : this->KillNode(node);
+      std::this_thread::sleep_for(Millis(this->Draw(400)));
+    }
+    leaving.Report("ready", 999'999);
+    std::this_thread::sleep_for(kDrain + Millis(500));
+    if (status == 200) {
+      for (const standins::SeenRequest& seen : leaving.Seen()) {
+        if (seen.at > acknowledged + kDrain) {
+          this->Break("DRAIN: " + seen.id + " reached an instance that left");
+        }
+      }
+    }
+    this->Collect(node);
+    this->cluster.ReplaceInstance(node, this->NextInstance(node));
+  }
+
   /// The instance names a limit in its answers for a while.
   void LimitInstance(int node) {
     const auto per_s = static_cast<double>(1 + this->Draw(10));
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -11,7 +11,7 @@
 namespace almondlink::test {
 
 /// Kinds of faults that there are.
-constexpr std::uint64_t kFaultKinds = 20;
+constexpr std::uint64_t kFaultKinds = 21;
 
 struct SoakOptions {
   std::uint64_t seed = 1;
