--- a/libs/relay/src/exchange/peer_leaves.cc
+++ b/libs/relay/src/exchange/peer_leaves.cc
@@ -31,6 +31,8 @@
   }
 }
 
+/// Records the current instance of a peer if it is draining; a peer below
+/// kVersionLeaves announces no other leaves and waits for the confirmation.
 void PeerTable::RecordDrainingInstance(const PeerPointer& peer) {
   const StateFrame& reported = peer->reported;
   if (reported.state != InstanceState::kDraining) {
