--- a/review/common-2/deployment.cc
+++ b/review/common-2/deployment.cc
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t kHeartbeat = 1500;
 constexpr std::int64_t kLook = 100;
+constexpr std::int64_t kReportWithin = 1000;
 constexpr std::int64_t kReadyWithin = 20'000;
 
 /// Replaces the names of the template. A section that is left out has no value
@@ -143,8 +144,7 @@
   }
 }
 
-int Instance::Report() {
-  static std::atomic<int> sequence{0};
+std::string Instance::Heartbeat() {
   const nlohmann::json body = {{"service", this->spec.service},
                                {"address", this->spec.told.Text()},
                                {"zone", this->spec.zone},
@@ -152,35 +152,39 @@
                                {"capacity", this->spec.capacity},
                                {"state", "ready"},
                                {"coldLeftMs", 0},
-                               {"sequence", ++sequence}};
+                               {"sequence", ++this->sequence}};
+  return body.dump();
+}
+
+int Instance::Tell(const std::string& call, const std::string& body) const {
   const Socket socket = Connect(this->spec.control);
-  Answer answer;
-  const std::string text = body.dump();
-  if (!socket.IsOpen() ||
-      !socket.SendAll("POST /instances/" + this->spec.id +
-                      "/heartbeat HTTP/1.1\r\nHost: node\r\nContent-Type: "
-                      "application/json\r\nContent-Length: " +
-                      std::to_string(text.size()) + "\r\n\r\n" + text)) {
+  const std::string bytes =
+      "POST /instances/" + this->spec.id + "/" + call +
+      " HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (!socket.IsOpen() || !socket.SendAll(bytes)) {
     return 0;
   }
   std::string input;
   const std::int64_t start = NowMs();
-  while (NowMs() - start < 1000 &&
+  while (NowMs() - start < kReportWithin &&
          input.find("\r\n\r\n") == std::string::npos) {
     const int got = socket.ReadSome(input, kLook);
     if (got == 0 || got == -1) {
       break;
     }
   }
-  return input.size() > 12 ? std::atoi(input.substr(9, 3).c_str()) : 0;
+  constexpr std::size_t kStatusEnd = 12;
+  return input.size() > kStatusEnd ? std::atoi(input.substr(9, 3).c_str()) : 0;
 }
 
 void Instance::Live() {
   std::int64_t next = 0;
   int last = -1;
   while (!this->is_stopped) {
-    if (!this->is_silent && NowMs() >= next) {
-      const int status = this->Report();
+    if (!this->is_silent && this->has_heartbeats && NowMs() >= next) {
+      const int status = this->Tell("heartbeat", this->Heartbeat());
       if (status != last) {
         this->record.Line("heartbeat of " + this->spec.id + " answered " +
                           std::to_string(status));
@@ -306,7 +310,7 @@
        {{"columns", {"name", "healthPath", "maxConns"}}, {"rows", named}}},
       {"limits",
        {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 1048576},
+        {"maxBodyBytes", this->max_body},
         {"headerTimeoutMs", 3000},
         {"idleTimeoutMs", 15000}}}};
   this->store.Put("keyed.op", "config", config.dump());
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -48,6 +48,14 @@
   Instance(const Instance&) = delete;
   Instance& operator=(const Instance&) = delete;
 
+  /// Sends one report of its life: `call` is "heartbeat" or "leave". Returns
+  /// the status of the answer, 0 if none came within a second.
+  int Tell(const std::string& call, const std::string& body) const;
+  /// The body of a heartbeat as it would be sent now.
+  std::string Heartbeat();
+  /// It reports no more, and serves on.
+  void StopHeartbeats() { this->has_heartbeats = false; }
+
   /// It is gone without a word: it listens and reports no more, and what it
   /// has begun is never answered. Its connections stay open.
   void FallSilent();
@@ -59,8 +67,6 @@
  private:
   void Serve(Socket socket);
   void Live();
-  int Report();
-
   Spec spec;
   Run run;
   Record& record;
@@ -69,6 +75,8 @@
   std::vector<std::shared_ptr<Socket>> open;
   std::atomic<bool> is_stopped{false};
   std::atomic<bool> is_silent{false};
+  std::atomic<bool> has_heartbeats{true};
+  std::atomic<int> sequence{0};
   std::unique_ptr<Listener> listener;
   std::thread life;
 };
@@ -122,6 +130,9 @@
   void Configure(int version,
                  const std::vector<Route>& routes,
                  const std::vector<std::string>& services);
+  /// Bytes of a request's body that the configuration allows; before
+  /// Configure().
+  void SetMaxBody(std::size_t bytes) { this->max_body = bytes; }
   /// Waits until all nodes are ready and one request to each route is served
   /// at each node. False if that does not come.
   bool WaitReady(const std::vector<Route>& routes);
@@ -134,6 +145,7 @@
   std::string folder;
   Record& record;
   standins::FakeStore store;
+  std::size_t max_body = std::size_t{64} * 1024 * 1024;
   std::vector<std::unique_ptr<Node>> nodes;
 };
 
