A leave that only nodes had recorded is kept when all of them are lost

Cause: while the store is away a leave is acknowledged when two other nodes have recorded it. If all nodes are lost before the store is back, the record is gone with the process that was to write it, and a node that starts took the store's list for all that had been acknowledged. One report from before the leave then opened the target.

Change: the store's answer is complete only together with the records of so many nodes that one of those that had recorded a leave is among them. A leave that nodes tell of and the store lacks is written by the process that hears of it. Leaves that wait are no longer dropped for later reports.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -286,11 +286,17 @@
                                    Volume::kRare};
 /// The leaves from before this start are known, `after_ms` after it, from
 /// `source`: `store`, `peers` (the store did not answer), `reports` (nobody
-/// could tell; the target has proved with its reports that it stays) or
-/// `first-start`. Until then nothing is sent to the target. `held` reports
-/// waited for it.
+/// could tell; the target has proved by its health check or its reports that it
+/// stays) or `first-start`. Until then nothing is sent to the target. `held`
+/// reports waited for it.
 constexpr Event kEventEarlierLeavesKnown{646, Level::kInfo,
                                          "earlier-leaves-known", Volume::kRare};
+/// After a start: the target that reports itself as `instance` was asked for
+/// its health and answered with `status` (0: not in time), as the instance
+/// `answered_by`. A target that passes is in service, so no earlier leave of it
+/// is missing.
+constexpr Event kEventHealthChecked{647, Level::kInfo, "health-checked",
+                                    Volume::kRare};
 
 }  // namespace almondlink
 
--- a/libs/control/src/leave_memory.cc
+++ b/libs/control/src/leave_memory.cc
@@ -46,30 +46,48 @@
                        !report.is_leaving;
   if (!goes_on) {
     memory.reporting = report.incarnation;
+    memory.reporting_service = report.service;
     memory.first_report = now;
     memory.is_new_instance = IsFirstReport(report) && !report.is_leaving;
+    memory.is_healthy = false;
   }
   memory.last_report = now;
   memory.last_sequence = report.sequence;
+  memory.is_leaving = report.is_leaving;
+}
+
+void RecordHealthy(const std::string& id, LeaveMemory& memory) {
+  memory.is_healthy =
+      memory.is_healthy || (!id.empty() && id == memory.reporting.id);
+}
+
+bool NeedsHealthCheck(const LeaveMemory& memory) {
+  return memory.source == LeaveSource::kNone && !memory.is_healthy &&
+         !memory.reporting.id.empty() && !memory.is_leaving;
 }
 
 bool UpdateLeaveMemory(Millis now, LeaveMemory& memory) {
-  const bool must_wait = memory.source != LeaveSource::kNone ||
-                         now - memory.started_at < kStoreWait;
-  if (must_wait) {
+  if (memory.source != LeaveSource::kNone) {
     return false;
   }
+  const bool has_waited = now - memory.started_at >= kStoreWait;
   const bool is_proved =
-      memory.is_new_instance ||
+      memory.is_new_instance || memory.is_healthy ||
       memory.last_report - memory.first_report >= kReportingTime;
-  if (memory.has_peer_record) {
+  if (memory.has_store_record && (memory.has_peer_record || is_proved)) {
+    memory.source = LeaveSource::kStore;
+  } else if (has_waited && memory.has_peer_record) {
     memory.source = LeaveSource::kPeers;
-  } else if (is_proved) {
+  } else if (has_waited && is_proved) {
     memory.source = LeaveSource::kReports;
   }
   return memory.source != LeaveSource::kNone;
 }
 
+bool HasEnoughRecords(std::size_t told, std::size_t silent) {
+  return told > 0 && silent < kMinRecords;
+}
+
 LeaveAnswer AnswerLeave(Millis now,
                         const LeaveEvidence& evidence,
                         std::size_t other_nodes) {
--- a/libs/control/tests/leave_memory_test.cc
+++ b/libs/control/tests/leave_memory_test.cc
@@ -66,6 +66,54 @@
   REQUIRE(UpdateLeaveMemory(Millis{1000}, memory));
 }
 
+TEST_CASE("the store alone does not tell that an instance stays") {
+  LeaveMemory memory;
+  memory.has_store_record = true;
+  RecordHeldReport(Millis{1500}, Report(40), memory);
+  REQUIRE_FALSE(UpdateLeaveMemory(Millis{60000}, memory));
+  memory.has_peer_record = true;
+  REQUIRE(UpdateLeaveMemory(Millis{60000}, memory));
+  REQUIRE(memory.source == LeaveSource::kStore);
+}
+
+TEST_CASE("an instance that passes its health check is opened") {
+  LeaveMemory memory;
+  memory.has_store_record = true;
+  REQUIRE_FALSE(NeedsHealthCheck(memory));
+  RecordHeldReport(Millis{20}, Report(40), memory);
+  REQUIRE(NeedsHealthCheck(memory));
+  RecordHealthy("i-2", memory);
+  RecordHealthy("", memory);
+  REQUIRE_FALSE(UpdateLeaveMemory(Millis{20}, memory));
+  RecordHealthy("i-1", memory);
+  REQUIRE(UpdateLeaveMemory(Millis{20}, memory));
+  REQUIRE(memory.source == LeaveSource::kStore);
+  REQUIRE_FALSE(NeedsHealthCheck(memory));
+}
+
+TEST_CASE("a health check counts for the instance that reports alone") {
+  LeaveMemory memory;
+  memory.has_store_record = true;
+  RecordHeldReport(Millis{20}, Report(40), memory);
+  RecordHealthy("i-1", memory);
+  InstanceReport other = Report(50);
+  other.incarnation.id = "i-2";
+  RecordHeldReport(Millis{30}, other, memory);
+  REQUIRE_FALSE(UpdateLeaveMemory(Millis{30}, memory));
+  // It has said itself that it leaves.
+  RecordHeldReport(Millis{40}, Report(51, true), memory);
+  REQUIRE_FALSE(NeedsHealthCheck(memory));
+}
+
+TEST_CASE("one node that was told nothing may be missing, and no more") {
+  // A leave that two nodes had recorded, or the only other one.
+  REQUIRE(HasEnoughRecords(1, 0));
+  REQUIRE(HasEnoughRecords(11, 1));
+  REQUIRE_FALSE(HasEnoughRecords(10, 2));
+  REQUIRE_FALSE(HasEnoughRecords(0, 0));
+  REQUIRE_FALSE(HasEnoughRecords(0, 1));
+}
+
 TEST_CASE("a leave is acknowledged once the store has it") {
   LeaveEvidence evidence;
   evidence.recorded_by = {"a", "b", "c"};
--- a/libs/policy/include/almondlink/policy/route_table.h
+++ b/libs/policy/include/almondlink/policy/route_table.h
@@ -69,6 +69,8 @@
   bool has_accounts = false;
   /// Connections that one instance of a service accepts.
   std::unordered_map<std::string, std::uint32_t> connections;
+  /// Paths of the health checks of services; a service without one is left out.
+  std::unordered_map<std::string, std::string> health_paths;
   /// Routes of a host (lower case), those with the longest prefix first.
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_host;
 
--- a/libs/relay/include/almondlink/relay/peer_table.h
+++ b/libs/relay/include/almondlink/relay/peer_table.h
@@ -130,7 +130,7 @@
       on_remembered_limit;
   /// A peer that had received the state of an earlier incarnation of this node
   /// has told all that it recorded of it.
-  std::function<void()> on_earlier_state_told;
+  std::function<void(const std::string& node)> on_earlier_state_told;
   /// The peer has recorded the leaves of this node up to that revision.
   std::function<
       void(LinkId link, const std::string& node, std::uint64_t revision)>
--- a/libs/relay/include/almondlink/relay/relay_node.h
+++ b/libs/relay/include/almondlink/relay/relay_node.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -202,6 +203,10 @@
   void OnPeerConnected(const PeerPointer& peer);
   bool KnowsEarlierLeaves() const;
   void HoldReport(HeldReport held);
+  void CheckHealth(Millis now);
+  void OnHealth(const HealthAnswer& answer);
+  bool HasEnoughPeerRecords() const;
+  void StoreRecordedLeaves();
   void ApplyHeldReports();
   control::ReportEffect ApplyReport(Millis received,
                                     const control::InstanceReport& report);
@@ -260,6 +265,11 @@
   std::vector<PendingAck> pending_acks;
   control::LeaveMemory leave_memory;
   std::deque<HeldReport> held_reports;
+  /// Nodes that knew an earlier process of this one and have told what they
+  /// recorded of it.
+  std::set<std::string> told_records;
+  bool is_checking_health = false;
+  Millis next_health_check;
   /// The latest leaves of targets of this node, the latest last, and the number
   /// of the latest announcement.
   std::deque<AnnouncedLeave> announced_leaves;
--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "almondlink/control/decision_sums.h"
@@ -238,6 +239,11 @@
   std::uint32_t Running() const { return this->running; }
   std::uint32_t Waiting() const;
   std::uint64_t ConnectCount() const { return this->pool.ConnectCount(); }
+  /// See TargetPool.
+  void CheckHealth(const std::string& path,
+                   std::function<void(const HealthAnswer&)> done) const {
+    this->pool.CheckHealth(path, std::move(done));
+  }
 
  private:
   struct Call;
--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -13,6 +13,7 @@
 #include "almondlink/relay/header_names.h"
 #include "almondlink/relay/http_parser.h"
 #include "almondlink/relay/peer_frames.h"
+#include "almondlink/relay/target_health.h"
 
 /// Connection pool for the target beside this node.
 ///
@@ -104,6 +105,11 @@
   /// destroyed.
   void CheckProcessGone(std::function<void(bool is_gone)> done) const;
 
+  /// Asks the target for its health on a connection of its own, see
+  /// almondlink/relay/target_health.h. Not called after the pool is destroyed.
+  void CheckHealth(const std::string& path,
+                   std::function<void(const HealthAnswer&)> done) const;
+
   /// Whether any idle connection is open.
   bool HasOpenIdle() const;
 
--- a/libs/relay/src/exchange/peer_leaves.cc
+++ b/libs/relay/src/exchange/peer_leaves.cc
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Maximum number of draining instances that are kept for each peer.
-constexpr std::size_t kMaxDrainingInstances = 16;
+/// Leaves that are kept for each peer: as many as it announces. Older ones that
+/// are returned to it after a restart would take the place of later ones there.
+constexpr std::size_t kMaxDrainingInstances = 4;
 
 }  // namespace
 
--- a/libs/relay/src/exchange/peer_state.cc
+++ b/libs/relay/src/exchange/peer_state.cc
@@ -159,7 +159,7 @@
         *hello.known_limit_per_s);
   }
   if (hello.has_earlier_state) {
-    this->events.on_earlier_state_told();
+    this->events.on_earlier_state_told(hello.self.name);
   }
   return is_raised;
 }
--- a/libs/relay/src/node_leaves.cc
+++ b/libs/relay/src/node_leaves.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxAnnounced = 4;
 /// Reports that wait for the leaves from before the start.
 constexpr std::size_t kMaxHeld = 32;
+/// Time between two health checks of a target that has not passed one.
+constexpr Millis kHealthInterval{500};
 
 }  // namespace
 
@@ -36,6 +38,7 @@
   if (!this->KnowsEarlierLeaves()) {
     control::RecordHeldReport(now, report, this->leave_memory);
     this->HoldReport({now, report, /*is_leave_call=*/false});
+    this->UpdateLeaves(now);
   } else if (this->ApplyReport(now, report) ==
              control::ReportEffect::kRefused) {
     return Fail(ErrorKind::kBadMessage,
@@ -63,10 +66,52 @@
   this->AcknowledgeLeave(start, "leave", std::move(acknowledge));
 }
 
+/// Leaves stay until they can be applied: without one, a report from before it
+/// would open the target.
 void RelayNode::HoldReport(HeldReport held) {
   this->held_reports.push_back(std::move(held));
-  if (this->held_reports.size() > kMaxHeld) {
-    this->held_reports.pop_front();
+  if (this->held_reports.size() <= kMaxHeld) {
+    return;
+  }
+  const auto oldest =
+      std::find_if(this->held_reports.begin(), this->held_reports.end(),
+                   [](const HeldReport& entry) {
+                     return !entry.is_leave_call && !entry.report.is_leaving;
+                   });
+  this->held_reports.erase(
+      oldest == this->held_reports.end() ? this->held_reports.begin() : oldest);
+}
+
+/// Asks the target for its health if its reports alone do not tell yet that it
+/// is in service.
+void RelayNode::CheckHealth(Millis now) {
+  const policy::RouteTablePointer& table = this->entry.Table();
+  const bool is_due = table != nullptr && !this->is_checking_health &&
+                      now >= this->next_health_check &&
+                      control::NeedsHealthCheck(this->leave_memory);
+  if (!is_due) {
+    return;
+  }
+  const auto path =
+      table->health_paths.find(this->leave_memory.reporting_service);
+  if (path == table->health_paths.end()) {
+    return;
+  }
+  this->is_checking_health = true;
+  this->next_health_check = now + kHealthInterval;
+  this->served.CheckHealth(path->second, [this](const HealthAnswer& answer) {
+    this->OnHealth(answer);
+  });
+}
+
+void RelayNode::OnHealth(const HealthAnswer& answer) {
+  this->is_checking_health = false;
+  LogEvent(kEventHealthChecked, {{"instance", this->leave_memory.reporting.id},
+                                 {"status", std::to_string(answer.status)},
+                                 {"answered_by", answer.instance_id}});
+  if (IsHealthy(answer)) {
+    control::RecordHealthy(answer.instance_id, this->leave_memory);
+    this->UpdateLeaves(BootTimeNow());
   }
 }
 
@@ -125,7 +170,11 @@
   }
   // The nodes that had recorded it may be lost too. All that other nodes tell
   // is announced at once: in a large fleet each of them tells the same.
-  this->AddLeave(instance);
+  const bool is_stored = this->AddLeave(instance).is_stored;
+  if (this->leave_memory.has_store_record && !is_stored &&
+      this->hooks.on_leave != nullptr) {
+    this->hooks.on_leave(instance);
+  }
 }
 
 void RelayNode::RestoreLeaves(
@@ -135,14 +184,48 @@
     this->RestoreLeave(instance, control::ToString(source));
     this->AddLeave(instance).is_stored = true;
   }
-  if (!this->KnowsEarlierLeaves()) {
+  if (source == control::LeaveSource::kStore) {
+    this->leave_memory.has_store_record = true;
+    this->StoreRecordedLeaves();
+  } else if (!this->KnowsEarlierLeaves()) {
     this->leave_memory.source = source;
     this->LogEarlierLeaves(BootTimeNow());
     this->ApplyHeldReports();
   }
+  this->UpdateLeaves(BootTimeNow());
+}
+
+/// Writes the leaves that other nodes recorded and the store lacks: the process
+/// that was to write them is gone.
+void RelayNode::StoreRecordedLeaves() {
+  if (this->hooks.on_leave == nullptr) {
+    return;
+  }
+  for (const AnnouncedLeave& leave : this->announced_leaves) {
+    if (!leave.is_stored) {
+      this->hooks.on_leave(leave.instance);
+    }
+  }
+}
+
+/// Whether the nodes that told what they recorded of an earlier process of this
+/// node leave no room for a leave that none of them has.
+bool RelayNode::HasEnoughPeerRecords() const {
+  const std::vector<PeerPointer>& all = this->peers.All();
+  const auto silent =
+      std::count_if(all.begin(), all.end(), [this](const PeerPointer& peer) {
+        return !peer->is_self && this->told_records.count(peer->node.name) == 0;
+      });
+  return this->is_settled &&
+         control::HasEnoughRecords(this->told_records.size(),
+                                   static_cast<std::size_t>(silent));
 }
 
 void RelayNode::UpdateLeaves(Millis now) {
+  if (!this->KnowsEarlierLeaves()) {
+    this->CheckHealth(now);
+    this->leave_memory.has_peer_record = this->HasEnoughPeerRecords();
+  }
   if (control::UpdateLeaveMemory(now, this->leave_memory)) {
     this->LogEarlierLeaves(now);
     this->ApplyHeldReports();
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -119,8 +119,8 @@
       [this](const control::InstanceIncarnation& incarnation, double per_s) {
         this->served.RestoreLimit(incarnation, per_s);
       };
-  events.on_earlier_state_told = [this]() {
-    this->leave_memory.has_peer_record = true;
+  events.on_earlier_state_told = [this](const std::string& node) {
+    this->told_records.insert(node);
   };
   events.on_leaves_confirmed = [this](LinkId link, const std::string& node,
                                       std::uint64_t revision) {
--- a/libs/relay/src/serving/target_pool.cc
+++ b/libs/relay/src/serving/target_pool.cc
@@ -117,6 +117,19 @@
               });
 }
 
+void TargetPool::CheckHealth(
+    const std::string& path,
+    std::function<void(const HealthAnswer&)> done) const {
+  const std::weak_ptr<State> weak = this->state;
+  AskForHealth(this->state->loop, this->state->address, this->state->names,
+               path,
+               [weak, done = std::move(done)](const HealthAnswer& answer) {
+                 if (!weak.expired()) {
+                   done(answer);
+                 }
+               });
+}
+
 bool TargetPool::HasOpenIdle() const {
   const auto& idle = this->state->idle;
   return std::any_of(idle.begin(), idle.end(),
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kResetsAfter{100};
 constexpr std::chrono::milliseconds kReadsLateAfter{1800};
 
+constexpr const char* kHealthPath = "/health";
+
 /// Size of the piece that is sent again and again, 4000 in hexadecimal.
 constexpr std::size_t kEndlessPiece = 0x4000;
 
@@ -100,11 +102,13 @@
     this->id = this->spec.id + "-" + std::to_string(number);
   }
   this->sequence = 0;
+  this->is_leaving = false;
   this->end_at = 0;
   this->Serve();
 }
 
 unsigned FakeInstance::Report(const std::string& state, std::uint64_t number) {
+  this->is_leaving = this->is_leaving || state == "draining";
   nlohmann::json body = {
       {"service", this->spec.service},
       {"address", "127.0.0.1:" + std::to_string(this->spec.port)},
@@ -132,6 +136,7 @@
 }
 
 unsigned FakeInstance::Leave() {
+  this->is_leaving = true;
   const nlohmann::json body = {{"born", this->spec.born}};
   return this->ReportBytes("leave",
                            this->spec.born == 0 ? std::string() : body.dump());
@@ -236,12 +241,23 @@
   return reaction;
 }
 
+Reaction FakeInstance::ReactToHealthCheck() {
+  const bool is_healthy = !this->is_leaving && !this->says_leaving;
+  Reaction reaction;
+  reaction.bytes = MakeAnswer(is_healthy ? 200 : 503,
+                              "Instance-Id: " + this->Id() + "\r\n", "");
+  return reaction;
+}
+
 Reaction FakeInstance::React(const FakeRequest& request,
                              const IsGone& is_gone) {
   const std::string id = Field(request, "Request-Id");
   const std::string echo = "Request-Id: " + id + "\r\n";
   const std::string own = this->Id();
   const std::string mark = "Response-Seal: " + own + "\r\n";
+  if (request.target() == kHealthPath) {
+    return this->ReactToHealthCheck();
+  }
   Reaction reaction;
   if (Field(request, "Target-Instance") != own) {
     reaction.bytes = MakeAnswer(421, "Instance-Id: " + own + "\r\n", "");
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -77,7 +77,8 @@
 };
 
 /// A stand-in for an application instance of the platform: runs requests,
-/// makes calls, and reports itself to the node beside it. Thread safe.
+/// makes calls, and reports itself to the node beside it. It passes its health
+/// check at /health until it announces that it leaves. Thread safe.
 class FakeInstance {
  public:
   struct Spec {
@@ -136,6 +137,7 @@
   int Ends() const { return this->ends; }
 
  private:
+  Reaction ReactToHealthCheck();
   Reaction React(const FakeRequest& request, const IsGone& is_gone);
   std::optional<BodyReaction> ReactToHead(const FakeHead& head);
   bool MakeCalls(const FakeRequest& request);
@@ -150,6 +152,8 @@
   std::atomic<int> work_ms;
   std::atomic<bool> reports{true};
   std::atomic<bool> says_leaving{false};
+  /// It has announced that it leaves, by a report or a call.
+  std::atomic<bool> is_leaving{false};
   std::atomic<bool> is_stopped{false};
   /// When it ends, on the steady clock; 0: not.
   std::atomic<std::int64_t> end_at{0};
--- a/test/process/relay_forgotten_leave_test.cc
+++ b/test/process/relay_forgotten_leave_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <fstream>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,7 +14,9 @@
 /// Guards against leaves that are acknowledged and then forgotten: requests
 /// reached a target that had announced its leave, after the node beside it and
 /// the nodes that had recorded the leave had been killed or restarted, once a
-/// report from before the leave arrived late.
+/// report from before the leave arrived late. Also against a leave that only
+/// nodes had recorded, because the store did not answer, and that was lost with
+/// them.
 namespace almondlink::test {
 namespace {
 
@@ -36,8 +40,11 @@
 /// its own service, so that nothing keeps requests away from it.
 class LeavingTarget {
  public:
-  explicit LeavingTarget(int port, std::uint64_t born = 0)
+  explicit LeavingTarget(int port,
+                         std::uint64_t born = 0,
+                         const std::string& health_path = "/health")
       : cluster(port, "forgotten-leave-" + std::to_string(port)) {
+    this->cluster.SetHealthPath(health_path);
     standins::FakeInstance::Spec spec = Spec("i-a", "stock");
     spec.born = born;
     this->cluster.Add(spec, "zone-a");
@@ -74,6 +81,25 @@
     this->cluster.StartNode(node);
   }
 
+  void KillAll() {
+    for (int node = 0; node < 3; ++node) {
+      this->cluster.Node(node).Kill();
+    }
+  }
+
+  void StartAll() {
+    for (int node = 0; node < 3; ++node) {
+      this->cluster.StartNode(node);
+    }
+  }
+
+  std::string Log(int node) {
+    std::ifstream in(this->cluster.LogPath(node));
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+  }
+
   /// Callers go on for `duration`; whether the target got any of it.
   bool GetsRequests(milliseconds duration) {
     const std::size_t before = this->cluster.Instance(kTarget).Seen().size();
@@ -212,6 +238,83 @@
   }));
 }
 
+/// Paths of the health check at an instance: one that works, one at which it
+/// answers nothing of use, and none.
+const std::vector<std::string> kHealthPaths = {"/health", "/none", ""};
+
+TEST_CASE("a leave that only nodes had recorded is kept when all are killed") {
+  int port = 32400;
+  for (const std::string& path : kHealthPaths) {
+    for (const bool is_report : {false, true}) {
+      LeavingTarget target(port, 0, path);
+      port += 40;
+      target.cluster.Store().SetFaults(StoreFault::kBusy);
+      const unsigned status =
+          is_report
+              ? target.cluster.Instance(kTarget).Report("draining", kSequence)
+              : target.cluster.Instance(kTarget).Leave();
+      REQUIRE(status == kOk);
+      target.KillAll();
+      target.cluster.Store().SetFaults(StoreFault::kNone);
+      target.StartAll();
+      target.Rejoin();
+      for (const std::uint64_t late : {kLateSequence - 1, kLateSequence}) {
+        target.cluster.Instance(kTarget).Report("ready", late);
+        REQUIRE_FALSE(target.GetsRequests(milliseconds(1000)));
+      }
+    }
+  }
+}
+
+TEST_CASE(
+    "a leave is kept when all nodes are killed twice while the store is "
+    "away") {
+  LeavingTarget target(32640);
+  target.cluster.Store().SetFaults(StoreFault::kBusy);
+  REQUIRE(target.cluster.Instance(kTarget).Leave() == kOk);
+  target.KillAll();
+  target.StartAll();
+  std::this_thread::sleep_for(milliseconds(1500));
+  target.KillAll();
+  target.cluster.Store().SetFaults(StoreFault::kNone);
+  target.StartAll();
+  target.Rejoin();
+  target.cluster.Instance(kTarget).Report("ready", kLateSequence);
+  REQUIRE_FALSE(target.GetsRequests(milliseconds(1500)));
+}
+
+TEST_CASE(
+    "a leave that nodes had recorded reaches the store by another "
+    "process") {
+  LeavingTarget target(32680, 0, "");
+  target.cluster.Store().SetFaults(StoreFault::kBusy);
+  REQUIRE(target.cluster.Instance(kTarget).Leave() == kOk);
+  target.Restart(kTarget);
+  std::this_thread::sleep_for(milliseconds(500));
+  target.cluster.Store().SetFaults(StoreFault::kNone);
+  target.Rejoin();
+  // What the node had to write is gone with its earlier process.
+  std::this_thread::sleep_for(milliseconds(2500));
+  target.KillAll();
+  target.StartAll();
+  REQUIRE(Soon([&]() {
+    return target.Log(kTarget).find(
+               R"("name":"leave-remembered","instance":"i-a","born":"0",)"
+               R"("source":"store")") != std::string::npos;
+  }));
+}
+
+TEST_CASE(
+    "a target in service is opened at its first report after all nodes "
+    "were killed") {
+  LeavingTarget target(32720);
+  target.KillAll();
+  target.StartAll();
+  target.Rejoin();
+  REQUIRE(target.cluster.Instance(kTarget).Report("ready", kSequence) == kOk);
+  REQUIRE(Soon([&]() { return target.Call() == kOk; }));
+}
+
 TEST_CASE("a target that is back under its id is served after its leave") {
   LeavingTarget target(32360, 1700000000000ULL);
   REQUIRE(target.cluster.Instance(kTarget).Leave() == kOk);
--- a/test/support/relay_cluster.cc
+++ b/test/support/relay_cluster.cc
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -198,15 +199,41 @@
       this->LogPath(node));
 }
 
+std::string RelayCluster::WithServices(
+    const std::string& config,
+    const std::vector<RouteSpec>& routes) const {
+  std::set<std::string> services;
+  for (const Entry& entry : this->nodes) {
+    services.insert(entry.spec.service);
+  }
+  for (const RouteSpec& route : routes) {
+    if (!route.service.empty()) {
+      services.insert(route.service);
+    }
+    for (const auto& [service, weight] : route.split) {
+      services.insert(service);
+    }
+  }
+  nlohmann::json filled = nlohmann::json::parse(config);
+  for (const std::string& service : services) {
+    filled["services"]["rows"].push_back(
+        {service, this->health_path, 500, nullptr, nullptr});
+  }
+  return filled.dump();
+}
+
 void RelayCluster::Configure(std::uint64_t version,
                              const std::vector<RouteSpec>& routes) {
-  this->store.Put("keyed.op", "config", MakeConfig(version, routes));
+  this->store.Put("keyed.op", "config",
+                  this->WithServices(MakeConfig(version, routes), routes));
 }
 
 void RelayCluster::Configure(std::uint64_t version,
                              const std::vector<RouteSpec>& routes,
                              const std::vector<AccountSpec>& accounts) {
-  this->store.Put("keyed.op", "config", MakeConfig(version, routes, accounts));
+  this->store.Put(
+      "keyed.op", "config",
+      this->WithServices(MakeConfig(version, routes, accounts), routes));
 }
 
 void RelayCluster::WaitReady() {
--- a/test/support/relay_cluster.h
+++ b/test/support/relay_cluster.h
@@ -86,6 +86,8 @@
   standins::FakeStore& Store() { return this->store; }
   int Door(int node) const { return node; }
 
+  /// Path of the health checks in policies that are written from now on.
+  void SetHealthPath(std::string path) { this->health_path = std::move(path); }
   void Configure(std::uint64_t version, const std::vector<RouteSpec>& routes);
   void Configure(std::uint64_t version,
                  const std::vector<RouteSpec>& routes,
@@ -135,6 +137,9 @@
     std::unique_ptr<Process> process;
     std::unique_ptr<Relay> proxy;
   };
+  /// The configuration with the services of the routes and of the instances.
+  std::string WithServices(const std::string& config,
+                           const std::vector<RouteSpec>& routes) const;
   static std::size_t Index(int node) { return static_cast<std::size_t>(node); }
   int PortOf(int node, int offset) const {
     return this->base_port + node * 10 + offset;
@@ -144,6 +149,7 @@
   bool has_proxies = false;
   std::string relay;
   std::string decisions;
+  std::string health_path = "/health";
   std::string folder;
   standins::FakeStore store;
   std::vector<Entry> nodes;
