Queued calls are not run by an instance of another service

Cause: whether the instance is the one that a call was sent to is checked when the call arrives at the node beside it. A queued call kept no record of that. When an instance of another service reported itself, the queue was sent to it, with its own id in the field that lets a target refuse what is meant for another one.

Change: a queued call knows its service. The queue is returned unrun when an instance of another service reports itself, so the calls go to other targets, and nothing is sent to an instance of another service. An instance of the same service takes the queue over as before.

The ports of the cases that were added to the test of forgotten leaves move below the range that the kernel gives out.

--- a/libs/relay/include/almondlink/relay/served_calls.h
+++ b/libs/relay/include/almondlink/relay/served_calls.h
@@ -256,6 +256,7 @@
   void CountWait(const CallPointer& call);
   void CountOvertaking(const Call& call);
   void RejectOverflow();
+  void RejectQueue(CallReason reason);
   void RejectExpired(Millis now);
   void RejectLate(Millis now, const CallPointer& call);
   double MeanTimeInProgress(Millis now) const;
--- a/libs/relay/src/serving/served_call.h
+++ b/libs/relay/src/serving/served_call.h
@@ -43,6 +43,9 @@
   Millis sent_at;
   control::InstanceIncarnation sent_to;
   std::string request_id;
+  /// The service that it is for. Another instance of it may run the call while
+  /// it waits, an instance of another service may not.
+  std::string service;
   std::string method;
   std::string request_head;
   std::string caller_service;
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -103,6 +103,7 @@
     return;
   }
   control::RecordDemand(frame.root_route, this->meter);
+  call->service = this->tracker.current.service;
   call->method.assign(frame.method);
   call->request_head.reserve(frame.target.size() + frame.fields.size() + 200);
   call->request_head.append(frame.method).append(" ").append(frame.target);
@@ -131,6 +132,10 @@
       this->Reject(call, CallReason::kNoInstance);
       continue;
     }
+    if (call->service != this->tracker.current.service) {
+      this->Reject(call, CallReason::kOtherInstance);
+      continue;
+    }
     if (!this->CanStillStart(now, *call)) {
       this->RejectLate(now, call);
       continue;
@@ -210,7 +215,7 @@
     bytes.append(name).append(": ").append(value).append("\r\n");
   };
   put(this->names.time_left, std::to_string(left.count));
-  put(this->names.target_instance, this->tracker.current.incarnation.id);
+  put(this->names.target_instance, call.sent_to.id);
   put(this->names.caller_service, call.caller_service);
   const bool has_body =
       !call.body.empty() || (call.method != "GET" && call.method != "HEAD");
@@ -252,8 +257,7 @@
       this->MeasureCompleted(*call, work);
     }
     answer.run_counts = call->run_counts;
-    control::AddRuns({ServiceKeyOf(this->tracker.current.service), 1},
-                     answer.run_counts);
+    control::AddRuns({ServiceKeyOf(call->service), 1}, answer.run_counts);
   }
   call->is_answering = has_more;
   if (!has_more) {
--- a/libs/relay/src/serving/served_notices.cc
+++ b/libs/relay/src/serving/served_notices.cc
@@ -19,6 +19,7 @@
     Millis received,
     const control::InstanceReport& report) {
   const control::InstanceIncarnation before = this->tracker.current.incarnation;
+  const std::string service_before = this->tracker.current.service;
   const control::ReportEffect effect =
       control::ApplyReport(received, report, this->tracker);
   const control::InstanceIncarnation& current =
@@ -35,6 +36,9 @@
     this->ForgetCapacity();
     this->errors = control::ErrorRate();
     this->ForgetNotices();
+    if (service_before != this->tracker.current.service) {
+      this->RejectQueue(CallReason::kOtherInstance);
+    }
     if (before.id == current.id) {
       this->EndRunsOfPreviousIncarnation();
     }
--- a/libs/relay/src/serving/served_queue.cc
+++ b/libs/relay/src/serving/served_queue.cc
@@ -47,6 +47,15 @@
   this->queue_counters.overtook += overtakes ? 1 : 0;
 }
 
+/// Returns all queued calls unrun.
+void ServedCalls::RejectQueue(CallReason reason) {
+  while (!this->queue.empty()) {
+    const CallPointer call = this->queue.begin()->second;
+    control::RemoveRefusedDemand(call->info.root_route, this->meter);
+    this->Reject(call, reason);
+  }
+}
+
 /// Rejects the least useful calls of a queue that is too long.
 void ServedCalls::RejectOverflow() {
   const std::size_t max_queue = std::max(
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -42,7 +42,11 @@
 }  // namespace
 
 FakeInstance::FakeInstance(Spec spec_in)
-    : spec(std::move(spec_in)), work_ms(spec.work_ms), id(spec.id) {
+    : spec(std::move(spec_in)),
+      work_ms(spec.work_ms),
+      capacity(spec.capacity),
+      id(spec.id),
+      service(spec.service) {
   this->Serve();
   this->life = std::thread([this]() { this->Live(); });
 }
@@ -65,6 +69,26 @@
   return this->id;
 }
 
+std::string FakeInstance::Service() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->service;
+}
+
+void FakeInstance::Become(const std::string& other_id,
+                          const std::string& other_service,
+                          int other_capacity) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->id = other_id;
+    this->service = other_service;
+  }
+  this->capacity = other_capacity;
+  this->fault = InstanceFault::kNone;
+  this->is_leaving = false;
+  this->sequence = 0;
+  this->reports = true;
+}
+
 FakeInstance::~FakeInstance() {
   this->is_stopped = true;
   this->life.join();
@@ -110,11 +134,11 @@
 unsigned FakeInstance::Report(const std::string& state, std::uint64_t number) {
   this->is_leaving = this->is_leaving || state == "draining";
   nlohmann::json body = {
-      {"service", this->spec.service},
+      {"service", this->Service()},
       {"address", "127.0.0.1:" + std::to_string(this->spec.port)},
       {"zone", this->spec.zone},
       {"version", "v1"},
-      {"capacity", this->spec.capacity},
+      {"capacity", this->capacity.load()},
       {"state", state},
       {"coldLeftMs", 0},
       {"sequence", number}};
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -128,6 +128,11 @@
   /// Sends any bytes as a report, or as a leave.
   unsigned ReportBytes(const std::string& call, const std::string& body);
   unsigned Leave();
+  /// Another instance runs at its address from now on. Requests that it has not
+  /// answered are never answered, and their connections stay open.
+  void Become(const std::string& other_id,
+              const std::string& other_service,
+              int other_capacity);
 
   std::vector<SeenRequest> Seen();
   /// Times that requests with this id ran.
@@ -145,11 +150,13 @@
   void Serve();
   void EndAndComeBack();
   std::string Id();
+  std::string Service();
   std::string Notices();
 
   Spec spec;
   std::atomic<InstanceFault> fault{InstanceFault::kNone};
   std::atomic<int> work_ms;
+  std::atomic<int> capacity;
   std::atomic<bool> reports{true};
   std::atomic<bool> says_leaving{false};
   /// It has announced that it leaves, by a report or a call.
@@ -165,6 +172,7 @@
   std::vector<SeenRequest> seen;
   std::unique_ptr<FakeServer> server;
   std::string id;
+  std::string service;
   std::string rate_limit;
   std::string stray_bytes;
   std::thread life;
--- a/test/process/relay_forgotten_leave_test.cc
+++ b/test/process/relay_forgotten_leave_test.cc
@@ -243,7 +243,7 @@
 const std::vector<std::string> kHealthPaths = {"/health", "/none", ""};
 
 TEST_CASE("a leave that only nodes had recorded is kept when all are killed") {
-  int port = 32400;
+  int port = 19200;
   for (const std::string& path : kHealthPaths) {
     for (const bool is_report : {false, true}) {
       LeavingTarget target(port, 0, path);
@@ -269,7 +269,7 @@
 TEST_CASE(
     "a leave is kept when all nodes are killed twice while the store is "
     "away") {
-  LeavingTarget target(32640);
+  LeavingTarget target(19440);
   target.cluster.Store().SetFaults(StoreFault::kBusy);
   REQUIRE(target.cluster.Instance(kTarget).Leave() == kOk);
   target.KillAll();
@@ -286,7 +286,7 @@
 TEST_CASE(
     "a leave that nodes had recorded reaches the store by another "
     "process") {
-  LeavingTarget target(32680, 0, "");
+  LeavingTarget target(19480, 0, "");
   target.cluster.Store().SetFaults(StoreFault::kBusy);
   REQUIRE(target.cluster.Instance(kTarget).Leave() == kOk);
   target.Restart(kTarget);
@@ -307,7 +307,7 @@
 TEST_CASE(
     "a target in service is opened at its first report after all nodes "
     "were killed") {
-  LeavingTarget target(32720);
+  LeavingTarget target(19520);
   target.KillAll();
   target.StartAll();
   target.Rejoin();
