A status that HTTP does not have is no answer, on both interfaces

Callers got 600 and 999 as answers, status and body. 000 and 099 counted as interim answers: the caller waited for its time limit, the slot was taken so long, and a success that followed on the connection was delivered.

Cause: both interfaces compared the status with 200 alone.

Change: ClassOfStatus decides for both what is an interim answer, a final one, or none (below 100, from 600 on, and 101, which no request asks for). What is none is malformed: the connection closes, the caller gets 502, and a request that may run once is not sent again. The entry treats a status that another node tells likewise.

--- a/almondlinkd/entry_sends.cc
+++ b/almondlinkd/entry_sends.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "almondlink/base/http_status.h"
 #include "almondlink/control/idempotency_key.h"
 #include "almondlink/control/pressure.h"
 #include "almondlink/control/retry_budget.h"
@@ -100,6 +101,11 @@
     return;
   }
   entry->out.reset();
+  if (answer.error == 0 &&
+      ClassOfStatus(answer.status) != StatusClass::kFinal) {
+    // A node that takes any status for an answer passed it on.
+    answer.error = static_cast<std::uint32_t>(ErrorKind::kTargetBadAnswer);
+  }
   const LatencyMs took{this->links.RunningNow().count - entry->sent.count};
   this->views.Learn(entry->call.operation->service.Value(), entry->target_node,
                     took, answer);
--- a/libs/relay/src/entry/entry_attempts.cc
+++ b/libs/relay/src/entry/entry_attempts.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "almondlink/base/event_log.h"
+#include "almondlink/base/http_status.h"
 #include "almondlink/control/placement.h"
 #include "almondlink/relay/entry_calls.h"
 #include "answer_text.h"
@@ -207,6 +208,13 @@
     return;
   }
   const CallPointer call = found->second;
+  if (frame.outcome == CallOutcome::kAnswered &&
+      ClassOfStatus(frame.status) != StatusClass::kFinal) {
+    // A node that takes any status for an answer passed it on.
+    this->CancelAttempt(call);
+    this->OnFailedAttempt(call, CallOutcome::kBroken, CallReason::kBadAnswer);
+    return;
+  }
   this->RecordRun(*call, frame);
   if (this->UpdateTargetHealth(*call, peer, frame)) {
     LogEvent(kEventTargetSetAside,
--- a/libs/relay/src/http_parser.cc
+++ b/libs/relay/src/http_parser.cc
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "almondlink/base/http_status.h"
+
 namespace almondlink::relay {
 
 namespace {
@@ -252,9 +254,12 @@
 void AnswerParser::on_response_impl(int code,
                                     string_view reason,
                                     int /*version*/,
-                                    error_code& /*error*/) {
+                                    error_code& error) {
   this->header_limit(kMaxHeader);
   this->head.status = static_cast<std::uint32_t>(code);
+  if (ClassOfStatus(this->head.status) == StatusClass::kInvalid) {
+    error = http::error::bad_status;
+  }
   this->head.reason.assign(reason.data(), reason.size());
 }
 
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -6,6 +6,7 @@
 
 #include "almondlink/base/clock.h"
 #include "almondlink/base/hash.h"
+#include "almondlink/base/http_status.h"
 #include "almondlink/relay/socket_options.h"
 #include "shared_read.h"
 
@@ -264,7 +265,7 @@
     return AnswerRelation::kUnknown;
   }
   const AnswerHead& head = this->parser->head;
-  if (head.status < kFirstSuccess) {
+  if (ClassOfStatus(head.status) == StatusClass::kInterim) {
     return AnswerRelation::kInterim;
   }
   if (this->is_streaming || this->IsOfThisRequest()) {
--- a/libs/server/src/answer_reader.cc
+++ b/libs/server/src/answer_reader.cc
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "almondlink/base/http_status.h"
+
 namespace almondlink::server {
 
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr unsigned kFirstFinalStatus = 200;
 /// A target that sends more than this before the answer that is due is not
 /// worth waiting for.
 constexpr std::uint32_t kMostForeign = 4;
@@ -63,9 +64,7 @@
     if (error && error != http::error::need_more) {
       return this->Fail(KindOf(error));
     }
-    if (this->parser->is_header_done() && this->parser->need_eof()) {
-      // Without a length only the close would end the body, and a cut answer
-      // could not be told from a whole one.
+    if (this->parser->is_header_done() && !this->IsHeadUsable()) {
       return this->Fail(ErrorKind::kTargetBadAnswer);
     }
     if (this->parser->is_done()) {
@@ -83,9 +82,17 @@
   return ReadStep::kNeedMore;
 }
 
+bool AnswerReader::IsHeadUsable() const {
+  const unsigned status = this->parser->get().result_int();
+  // Without a length only the close would end the body, and a cut answer could
+  // not be told from a whole one.
+  return ClassOfStatus(status) != StatusClass::kInvalid &&
+         !this->parser->need_eof();
+}
+
 ReadStep AnswerReader::Judge() {
   const auto& message = this->parser->get();
-  if (message.result_int() < kFirstFinalStatus) {
+  if (ClassOfStatus(message.result_int()) == StatusClass::kInterim) {
     ++this->interim;
     if (this->interim > kMostInterim) {
       return this->Fail(ErrorKind::kTargetBadAnswer);
--- a/libs/server/src/answer_reader.h
+++ b/libs/server/src/answer_reader.h
@@ -63,6 +63,8 @@
   ReadStep Fail(ErrorKind kind);
   /// At the end of a whole answer; kNeedMore to read the next one.
   ReadStep Judge();
+  /// Whether the head can be that of an answer. Precondition: it is complete.
+  bool IsHeadUsable() const;
 
   const ExpectedAnswer expected;
   const AnswerLimits limits;
--- a/libs/server/tests/answer_reader_test.cc
+++ b/libs/server/tests/answer_reader_test.cc
@@ -154,6 +154,24 @@
   CHECK(vouched.may_follow);
 }
 
+TEST_CASE("an answer with a status that is none fails at once") {
+  // They were delivered, or taken for interim answers, so that the answer
+  // behind them counted.
+  for (const std::string& status :
+       {"000", "001", "099", "101", "600", "601", "999"}) {
+    INFO(status);
+    const std::string bytes =
+        "HTTP/1.1 " + status + " Odd\r\nAlmondlink-Attempt-Id: " + kOwnId +
+        "\r\nContent-Length: 3\r\n\r\nodd" + Answer(kOwnId, "mine");
+    for (const Read& read : ReadAllWays(Expect(true), bytes)) {
+      CHECK(read.step == ReadStep::kFailed);
+    }
+  }
+  CHECK(ReadPieces(Expect(true),
+                   {"HTTP/1.1 199 Wait\r\n\r\n" + Answer(kOwnId, "mine")})
+            .body == "mine");
+}
+
 TEST_CASE("an answer to HEAD ends with its head") {
   ExpectedAnswer expected = Expect(true);
   expected.is_to_head = true;
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -190,6 +190,11 @@
   this->rate_limit = text;
 }
 
+void FakeInstance::SetOddStatus(const std::string& text) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->odd_status = text;
+}
+
 void FakeInstance::SetStrayBytes(const std::string& bytes) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->stray_bytes = bytes;
@@ -393,6 +398,12 @@
                        "Transfer-Encoding: chunked\r\n\r\n4;x=";
       reaction.endless_bytes = std::string(kEndlessPiece, 'b');
       break;
+    case InstanceFault::kOddStatus: {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      reaction.bytes = "HTTP/1.1 " + this->odd_status + " Odd\r\n" + seal +
+                       "Content-Length: 3\r\n\r\nodd" + reaction.bytes;
+      break;
+    }
     case InstanceFault::kNoSeal:
       reaction.bytes = MakeAnswer(200, echo, body);
       break;
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -52,6 +52,9 @@
   kEndInBody,
   /// Answers with the id that it did not run it, a second time after a pause.
   kShedNamedTwice,
+  /// Runs it and answers with the status of SetOddStatus(), and with a success
+  /// right behind.
+  kOddStatus,
 };
 
 /// Whether a request ends the instance that runs it.
@@ -114,6 +117,8 @@
   void SetWork(int milliseconds) { this->work_ms = milliseconds; }
   /// Text of the rate limit in all its answers; empty: it names none.
   void SetRateLimit(const std::string& text);
+  /// Text of the status with the fault kOddStatus.
+  void SetOddStatus(const std::string& text);
   /// Bytes that belong to no request: sent when a request has been read on a
   /// connection that has carried another one, before it runs. Empty: none.
   void SetStrayBytes(const std::string& bytes);
@@ -175,6 +180,7 @@
   std::string service;
   std::string rate_limit;
   std::string stray_bytes;
+  std::string odd_status;
   std::thread life;
 };
 
