--- a/libs/relay/tests/target_status_test.cc
+++ b/libs/relay/tests/target_status_test.cc
@@ -23,12 +23,13 @@
            {std::string("Content-Length: 3\r\n\r\nodd"),
             std::string("Transfer-Encoding: chunked\r\n\r\n3\r\nodd\r\n"),
             std::string("\r\n")}) {
-        INFO(status + " " + marks + framing);
+        std::string bytes = "HTTP/1.1 ";
+        bytes.append(status).append(" Odd\r\n").append(marks).append(framing);
+        INFO(bytes);
         const ScriptedTarget target(
             [&](ScriptedConnection& connection, int /*number*/) {
               const std::string id = IdIn(connection.ReadHead());
-              connection.Send("HTTP/1.1 " + status + " Odd\r\n" + marks +
-                              framing + MakeSuccess(id, "", "body"));
+              connection.Send(bytes + MakeSuccess(id, "", "body"));
               connection.ReadHead();
             });
         PoolDriver driver(target);
@@ -47,10 +48,12 @@
 
 TEST_CASE("an interim answer is followed by the answer") {
   for (const std::string& status : {"100", "102", "103", "199"}) {
+    std::string interim = "HTTP/1.1 ";
+    interim.append(status).append(" Wait\r\n\r\n");
     const ScriptedTarget target(
         [&](ScriptedConnection& connection, int /*number*/) {
           const std::string id = IdIn(connection.ReadHead());
-          connection.Send("HTTP/1.1 " + status + " Wait\r\n\r\n" +
+          connection.Send(interim +
                           MakeSuccess(id, "Content-Length: 4\r\n", "body"));
           connection.ReadHead();
         });
--- a/libs/server/tests/answer_reader_test.cc
+++ b/libs/server/tests/answer_reader_test.cc
@@ -160,9 +160,10 @@
   for (const std::string& status :
        {"000", "001", "099", "101", "600", "601", "999"}) {
     INFO(status);
-    const std::string bytes =
-        "HTTP/1.1 " + status + " Odd\r\nAlmondlink-Attempt-Id: " + kOwnId +
-        "\r\nContent-Length: 3\r\n\r\nodd" + Answer(kOwnId, "mine");
+    std::string bytes = "HTTP/1.1 ";
+    bytes.append(status).append(" Odd\r\nAlmondlink-Attempt-Id: ");
+    bytes.append(kOwnId).append("\r\nContent-Length: 3\r\n\r\nodd");
+    bytes.append(Answer(kOwnId, "mine"));
     for (const Read& read : ReadAllWays(Expect(true), bytes)) {
       CHECK(read.step == ReadStep::kFailed);
     }
