A link under backpressure keeps only what is still to be sent

Downloads that filled the link of a host took the node beside the target past its memory: it was killed, and requests of other callers ended without an answer.

Cause: sent bytes stayed in the output until all of it was sent. Under backpressure frames are added before that, so the output kept all that the link had carried.

Change: sent bytes are removed when a write blocks and they are 256 KiB and half of the output; buffers that were much fuller before are released.

--- a/libs/relay/include/almondlink/relay/peer_link.h
+++ b/libs/relay/include/almondlink/relay/peer_link.h
@@ -57,8 +57,14 @@
   /// Whether a frame of about `bytes` may be appended. A larger one than the
   /// limit on pending output is accepted only by a link that is nearly idle.
   bool CanTake(std::size_t bytes) const;
-  /// Bytes in the output buffer.
-  std::size_t PendingBytes() const { return this->output.size(); }
+  /// Bytes that are still to be sent.
+  std::size_t PendingBytes() const {
+    return this->output.size() - this->written;
+  }
+  /// Memory that the buffers hold.
+  std::size_t BufferedBytes() const {
+    return this->input.capacity() + this->output.capacity();
+  }
 
  private:
   void Read();
@@ -67,6 +73,7 @@
   /// bytes consumed; sets `is_good` to false if the rest cannot be a frame.
   std::size_t DispatchFrames(std::string_view bytes, bool& is_good);
   void Flush();
+  void RemoveWritten();
   void Fail();
   void RunDrainCallback();
 
--- a/libs/relay/src/exchange/peer_link.cc
+++ b/libs/relay/src/exchange/peer_link.cc
@@ -21,6 +21,22 @@
 /// Buffers larger than this are released when they become empty. A node may
 /// have thousands of links, most of them idle.
 constexpr std::size_t kMaxIdleCapacity = 1024;
+/// Bytes that were sent are removed from the output buffer once they are so
+/// many and half of it.
+constexpr std::size_t kMinRemoved = 256 * 1024;
+/// Buffers above this size are released when little of them is used.
+constexpr std::size_t kLargeFrame = 1024 * 1024;
+
+/// Releases most of the memory of a buffer that was much fuller before.
+void ReleaseUnused(std::string& buffer) {
+  constexpr std::size_t kUsedPart = 4;
+  const bool is_empty = buffer.empty() && buffer.capacity() > kMaxIdleCapacity;
+  const bool is_oversized = buffer.capacity() > kLargeFrame &&
+                            buffer.size() < buffer.capacity() / kUsedPart;
+  if (is_empty || is_oversized) {
+    buffer.shrink_to_fit();
+  }
+}
 
 }  // namespace
 
@@ -63,6 +79,7 @@
         this->Fail();
         return;
       }
+      this->RemoveWritten();
       this->is_write_waiting = true;
       this->socket.async_wait(
           boost::asio::ip::tcp::socket::wait_write,
@@ -81,12 +98,21 @@
   }
   this->output.clear();
   this->written = 0;
-  if (this->output.capacity() > kMaxIdleCapacity) {
-    this->output.shrink_to_fit();
-  }
+  ReleaseUnused(this->output);
   this->RunDrainCallback();
 }
 
+/// Frames are added before all earlier ones are sent, so the buffer of a link
+/// that is under backpressure never becomes empty.
+void PeerLink::RemoveWritten() {
+  if (this->written >= kMinRemoved &&
+      this->written >= this->output.size() / 2) {
+    this->output.erase(0, this->written);
+    this->written = 0;
+    ReleaseUnused(this->output);
+  }
+}
+
 bool PeerLink::CanTake(std::size_t bytes) const {
   const std::size_t pending = this->output.size() - this->written;
   return pending <= kNearlyIdleBytes || pending + bytes <= kMaxPendingBytes;
@@ -149,9 +175,7 @@
     this->Fail();
     return;
   }
-  if (this->input.empty() && this->input.capacity() > kMaxIdleCapacity) {
-    this->input.shrink_to_fit();
-  }
+  ReleaseUnused(this->input);
   if (this->IsOpen()) {
     this->Read();
   }
