One upload within the limits does not end a node

An upload of 62 MiB took each node on its way past 160 MiB, and the node was killed with the requests of other callers.

Cause: buffers that grew held the body twice for a moment beside the copy that a repeat needs: the body as it arrives, the input and the output of a link (which grew for the eight bytes behind the body), and head and body of the request to the target in one string.

Change: large bodies are read into a buffer of their stated length, the output gets room for what follows a body, and a request to the target is written from its head and its body, which is released once written.

Two such uploads at once are not bounded: docs/OPEN.md.

--- a/libs/relay/include/almondlink/relay/peer_frames.h
+++ b/libs/relay/include/almondlink/relay/peer_frames.h
@@ -456,6 +456,10 @@
 /// protocol.
 constexpr std::size_t kMaxFrameSize = 80 * 1024 * 1024;
 
+/// Size of the frame that `input` begins with, by its header; 0 if that is not
+/// complete.
+std::size_t FrameSize(std::string_view input);
+
 /// The first frame of `input`, or none while it is incomplete. Sets `is_bad` if
 /// the input cannot be a frame.
 std::optional<RawFrame> NextFrame(std::string_view input, bool& is_bad);
--- a/libs/relay/include/almondlink/relay/peer_link.h
+++ b/libs/relay/include/almondlink/relay/peer_link.h
@@ -74,6 +74,7 @@
   std::size_t DispatchFrames(std::string_view bytes, bool& is_good);
   void Flush();
   void RemoveWritten();
+  void ReserveFrame();
   void Fail();
   void RunDrainCallback();
 
--- a/libs/relay/include/almondlink/relay/target_pool.h
+++ b/libs/relay/include/almondlink/relay/target_pool.h
@@ -33,8 +33,10 @@
 /// One request to the target.
 struct TargetRequest {
   std::string id;
-  /// Serialized head and body.
+  /// Serialized head.
   std::string bytes;
+  /// Released as soon as it is written.
+  std::string body;
   bool is_head_method = false;
   /// Whether the request may be sent again. If not, it is the first one on its
   /// connection.
--- a/libs/relay/src/exchange/frame_codec.h
+++ b/libs/relay/src/exchange/frame_codec.h
@@ -25,6 +25,11 @@
 /// below it, and a double keeps all digits up to here.
 constexpr std::uint64_t kMaxVarintFraction = 1ULL << 48;
 
+/// From this size of a text on, the buffer gets room for what follows. To grow
+/// later it would be copied, and hold the text twice for a moment.
+constexpr std::size_t kLargeText = 1024 * 1024;
+constexpr std::size_t kRoomAfterText = 1024 * 1024;
+
 /// Writes one frame. The destructor fills in its length.
 class Writer {
  public:
@@ -52,6 +57,9 @@
   }
   void PutText(std::string_view text) {
     this->Put(static_cast<std::uint32_t>(text.size()));
+    if (text.size() >= kLargeText) {
+      this->out.reserve(this->out.size() + text.size() + kRoomAfterText);
+    }
     this->out.append(text);
   }
   /// Writes a variable-length number: seven bits a byte, lowest first. Small
--- a/libs/relay/src/exchange/peer_frames.cc
+++ b/libs/relay/src/exchange/peer_frames.cc
@@ -22,24 +22,32 @@
   return index < kReasonNames.size() ? kReasonNames[index] : "unknown";
 }
 
-std::optional<RawFrame> NextFrame(std::string_view input, bool& is_bad) {
+std::size_t FrameSize(std::string_view input) {
   if (input.size() < kHeaderSize) {
-    return std::nullopt;
+    return 0;
   }
   std::uint32_t size = 0;
   std::memcpy(&size, input.data(), sizeof(size));
-  size = boost::endian::big_to_native(size);
+  return sizeof(size) + boost::endian::big_to_native(size);
+}
+
+std::optional<RawFrame> NextFrame(std::string_view input, bool& is_bad) {
+  const std::size_t whole = FrameSize(input);
+  if (whole == 0) {
+    return std::nullopt;
+  }
+  const std::size_t size = whole - sizeof(std::uint32_t);
   if (size == 0 || size > kMaxFrameSize) {
     is_bad = true;
     return std::nullopt;
   }
-  if (input.size() < 4 + static_cast<std::size_t>(size)) {
+  if (input.size() < whole) {
     return std::nullopt;
   }
   RawFrame frame;
   frame.type = static_cast<FrameType>(input[4]);
   frame.payload = input.substr(kHeaderSize, size - 1);
-  frame.size = 4 + static_cast<std::size_t>(size);
+  frame.size = whole;
   return frame;
 }
 
--- a/libs/relay/src/exchange/peer_link.cc
+++ b/libs/relay/src/exchange/peer_link.cc
@@ -1,5 +1,6 @@
 #include "almondlink/relay/peer_link.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -24,7 +25,8 @@
 /// Bytes that were sent are removed from the output buffer once they are so
 /// many and half of it.
 constexpr std::size_t kMinRemoved = 256 * 1024;
-/// Buffers above this size are released when little of them is used.
+/// Frames above this size are read into a buffer of their size, since one that
+/// grows holds twice as much for a moment.
 constexpr std::size_t kLargeFrame = 1024 * 1024;
 
 /// Releases most of the memory of a buffer that was much fuller before.
@@ -160,6 +162,12 @@
   return used;
 }
 
+void PeerLink::ReserveFrame() {
+  if (this->input.size() >= kLargeFrame) {
+    this->input.reserve(std::min(FrameSize(this->input), kMaxFrameSize));
+  }
+}
+
 void PeerLink::OnRead(std::string_view bytes) {
   this->last_received = BootTimeNow();
   bool is_good = true;
@@ -168,6 +176,7 @@
     const std::size_t used = this->DispatchFrames(bytes, is_good);
     this->input.append(bytes.substr(used));
   } else {
+    this->ReserveFrame();
     this->input.append(bytes);
     this->input.erase(0, this->DispatchFrames(this->input, is_good));
   }
--- a/libs/relay/src/http_parser.cc
+++ b/libs/relay/src/http_parser.cc
@@ -21,6 +21,9 @@
 /// the extensions of a chunk or its trailer fields, which Beast does not bound.
 constexpr std::uint32_t kMaxHeader = 64 * 1024;
 
+/// Bodies above this size are read into a buffer of their stated length.
+constexpr std::size_t kLargeBody = 1024 * 1024;
+
 bool IsField(StringView name, const std::string& wanted) {
   return name.size() == wanted.size() && iequals(name, wanted);
 }
@@ -124,6 +127,10 @@
 template <bool IsRequest>
 std::size_t HttpParser<IsRequest>::on_body_impl(string_view piece,
                                                 error_code& /*error*/) {
+  // A buffer that grows holds twice as much for a moment.
+  if (this->body.size() >= kLargeBody && this->content_length()) {
+    this->body.reserve(static_cast<std::size_t>(*this->content_length()));
+  }
   this->body.append(piece.data(), piece.size());
   return piece.size();
 }
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -222,7 +222,8 @@
   if (has_body) {
     put("Content-Length", std::to_string(call.body.size()));
   }
-  bytes.append("\r\n").append(std::exchange(call.body, std::string()));
+  bytes.append("\r\n");
+  request.body = std::exchange(call.body, std::string());
   return request;
 }
 
--- a/libs/relay/src/serving/target_connection.cc
+++ b/libs/relay/src/serving/target_connection.cc
@@ -1,6 +1,7 @@
 #include "target_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
@@ -93,6 +94,7 @@
   this->carried.push_back(ShortHash(this->request.id));
   this->is_busy = true;
   this->written = 0;
+  this->size = this->request.bytes.size() + this->request.body.size();
   this->unconsumed = 0;
   this->is_streaming = false;
   this->has_skipped_answer = false;
@@ -108,7 +110,7 @@
 /// body and read on later, so such a request has as long as its caller waits.
 /// The limit is not lowered again: the next request follows the unread bytes.
 void TargetConnection::SetAckTimeout() {
-  const bool is_long = this->request.bytes.size() > kMaxUnreadRequest;
+  const bool is_long = this->size > kMaxUnreadRequest;
   if (!is_long || this->request.time_left <= this->ack_timeout) {
     return;
   }
@@ -136,13 +138,15 @@
 }
 
 void TargetConnection::Write() {
-  const std::string& bytes = this->request.bytes;
-  while (this->written < bytes.size() && this->socket.is_open()) {
+  const std::string& head = this->request.bytes;
+  const std::string& body = this->request.body;
+  while (this->written < this->size && this->socket.is_open()) {
     boost::system::error_code error;
-    this->written += this->socket.write_some(
-        boost::asio::buffer(bytes.data() + this->written,
-                            bytes.size() - this->written),
-        error);
+    const std::size_t of_head = std::min(this->written, head.size());
+    const std::array<boost::asio::const_buffer, 2> rest = {
+        boost::asio::buffer(head) + of_head,
+        boost::asio::buffer(body) + (this->written - of_head)};
+    this->written += this->socket.write_some(rest, error);
     if (error == boost::asio::error::would_block) {
       this->socket.async_wait(
           boost::asio::ip::tcp::socket::wait_write,
@@ -159,6 +163,7 @@
       return;
     }
   }
+  std::string().swap(this->request.body);
 }
 
 void TargetConnection::Read() {
@@ -325,10 +330,10 @@
   // not run although it ran.
   const bool has_id =
       !this->request.id.empty() && this->parser->head.id == this->request.id;
-  const bool is_usable =
-      has_id && this->parser->head.is_keep_alive && !this->has_skipped_answer &&
-      this->input.empty() && this->carried.size() < kMaxCarried &&
-      this->written == this->request.bytes.size() && this->socket.is_open();
+  const bool is_usable = has_id && this->parser->head.is_keep_alive &&
+                         !this->has_skipped_answer && this->input.empty() &&
+                         this->carried.size() < kMaxCarried &&
+                         this->written == this->size && this->socket.is_open();
   if (!is_usable) {
     this->Close();
     return;
--- a/libs/relay/src/serving/target_connection.h
+++ b/libs/relay/src/serving/target_connection.h
@@ -90,6 +90,8 @@
   TargetRequest request;
   TargetEvents events;
   std::size_t written = 0;
+  /// Bytes of the request's head and body.
+  std::size_t size = 0;
   /// Bytes of a long answer that were passed on and not consumed yet.
   std::size_t unconsumed = 0;
   bool is_busy = false;
--- a/test/process/relay_upload_test.cc
+++ b/test/process/relay_upload_test.cc
@@ -35,14 +35,21 @@
 constexpr int kFirstTarget = 1;
 
 const std::vector<RouteSpec> kRoutes = {
-    {"upload", "files.example", "/upload/", "files", "unsafe"}};
+    {"upload", "files.example", "/upload/", "files", "unsafe", 30'000}};
+/// The memory that the smallest hosts give a node, and the largest body that
+/// the operator may allow there.
+constexpr std::size_t kHostMemory = 160 * kMebibyte;
+constexpr std::size_t kLargestBody = 62 * kMebibyte;
 
 /// A node that callers use, and nodes beside the targets of the upload service.
 struct Files {
   RelayCluster cluster;
   int targets;
 
-  Files(int port, const std::string& name, int targets_in = 1)
+  Files(int port,
+        const std::string& name,
+        int targets_in = 1,
+        std::size_t max_body = kMaxBody)
       : cluster(port, name), targets(targets_in) {
     this->cluster.Add(Spec("i-front", "front"));
     for (int i = 0; i < this->targets; ++i) {
@@ -51,14 +58,16 @@
       this->cluster.Add(spec);
     }
     nlohmann::json config = nlohmann::json::parse(MakeConfig(1, kRoutes));
-    config["limits"]["maxBodyBytes"] = kMaxBody;
+    config["limits"]["maxBodyBytes"] = max_body;
     this->cluster.Store().Put("keyed.op", "config", config.dump());
     this->cluster.WaitReady();
   }
 
-  PlainAnswer Upload(const std::string& id, const std::string& body) {
+  PlainAnswer Upload(const std::string& id,
+                     const std::string& body,
+                     int left_ms = 5000) {
     return this->cluster.Call(kFront, "files.example", "/upload/1", id, "POST",
-                              body);
+                              body, left_ms);
   }
 
   void SetFault(InstanceFault fault) {
@@ -86,9 +95,11 @@
   return body;
 }
 
-/// What a node holds: resident memory in bytes, and open sockets.
+/// What a node holds: resident memory in bytes, now and at most, and open
+/// sockets.
 struct Held {
   std::size_t memory = 0;
+  std::size_t peak = 0;
   std::size_t sockets = 0;
 };
 
@@ -98,10 +109,12 @@
   std::ifstream status(folder + "/status");
   std::string line;
   while (std::getline(status, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) {
+    const bool is_peak = line.rfind("VmHWM:", 0) == 0;
+    if (is_peak || line.rfind("VmRSS:", 0) == 0) {
+      std::size_t& bytes = is_peak ? held.peak : held.memory;
       std::istringstream text(line.substr(6));
-      text >> held.memory;
-      held.memory *= 1024;
+      text >> bytes;
+      bytes *= 1024;
     }
   }
   for (const auto& entry :
@@ -332,5 +345,19 @@
   held.RequireReleased();
 }
 
+// Guards against a node that holds several copies of a body: one upload within
+// the operator's limit took it beyond the memory of its host, which ended it.
+TEST_CASE("the largest upload fits into the memory of a host") {
+  Files files(19800, "upload-largest", 1, kLargestBody + 1);
+  REQUIRE(files.Upload("largest", MakeBody(kLargestBody), 30'000).status ==
+          200);
+  for (int node = 0; node <= files.targets; ++node) {
+    const std::size_t peak = HeldBy(files.cluster.Node(node)).peak;
+    INFO("node " << node << ": " << peak / kMebibyte << " MiB");
+    CHECK(peak > kLargestBody);
+    CHECK(peak < kHostMemory);
+  }
+}
+
 }  // namespace
 }  // namespace almondlink::test
