A node that stops adds nothing to an answer that it passes on

At the end of the grace time callers found the head of a 504 in the body of each answer that was passed on in parts.

Cause: the calls that are open then are ended by TimeOut, which answered them all.

Change: TimeOut breaks a streamed answer off, as a lost link does: the connection closes without the last chunk.

--- a/libs/base/include/almondlink/base/events.generated.h
+++ b/libs/base/include/almondlink/base/events.generated.h
@@ -297,6 +297,11 @@
 /// is missing.
 constexpr Event kEventHealthChecked{647, Level::kInfo, "health-checked",
                                     Volume::kRare};
+/// An answer that was passed on in parts was cut `after_ms` after its request
+/// came, because the time limit of the request was over or the node stops. Its
+/// caller sees that the connection closes.
+constexpr Event kEventAnswerCut{648, Level::kInfo, "answer-cut",
+                                Volume::kRoutine};
 
 }  // namespace almondlink
 
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -275,6 +275,7 @@
                     CallReason reason);
   void CancelAttempt(const CallPointer& call);
   void Abandon(const CallPointer& call);
+  void CutAnswer(const CallPointer& call);
   void TimeOut(const CallPointer& call);
   control::RepeatRules CurrentRepeatRules() const;
   control::RepeatAllowance& AllowanceOf(const std::string& service);
--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -218,7 +218,26 @@
   this->Finish(call);
 }
 
+/// Breaks off an answer that is passed on in parts. Its head is with the
+/// caller, so an answer of the node itself would be bytes within that one.
+void EntryCalls::CutAnswer(const CallPointer& call) {
+  LogEvent(
+      kEventAnswerCut,
+      {{"request", call->head.id},
+       {"parent", this->ParentOf(*call)},
+       {"route", call->route->name},
+       {"after_ms", std::to_string((BootTimeNow() - call->arrived).count)}});
+  this->CancelAttempt(call);
+  const CallerExchangePointer exchange = call->exchange;
+  this->Finish(call);
+  exchange->EndStreamedAnswer(true);
+}
+
 void EntryCalls::TimeOut(const CallPointer& call) {
+  if (call->is_streaming) {
+    this->CutAnswer(call);
+    return;
+  }
   // The request may be running at the target: only its node would know.
   call->may_have_run = call->may_have_run || call->peer != nullptr;
   this->RecordCutAttempt(*call);
--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -407,6 +407,9 @@
     case InstanceFault::kNoSeal:
       reaction.bytes = MakeAnswer(200, echo, body);
       break;
+    case InstanceFault::kSilentMidway:
+      reaction.bytes.resize(reaction.bytes.size() / 2);
+      break;
     default:
       break;
   }
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -55,6 +55,9 @@
   /// Runs it and answers with the status of SetOddStatus(), and with a success
   /// right behind.
   kOddStatus,
+  /// Runs it, sends the first half of the answer and then nothing, on an open
+  /// connection.
+  kSilentMidway,
 };
 
 /// Whether a request ends the instance that runs it.
--- /dev/null
+++ b/test/process/relay_long_answer_test.cc
@@ -0,0 +1,114 @@
+#include <signal.h>
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/support/relay_cluster.h"
+
+/// Guards against bytes of a node's own within an answer that it passes on in
+/// parts: one that stopped wrote the head of a 504 into it.
+namespace almondlink::test {
+namespace {
+
+using standins::FakeInstance;
+using standins::InstanceFault;
+using Tcp = boost::asio::ip::tcp;
+
+constexpr int kFront = 0;
+constexpr int kBesideTarget = 1;
+constexpr std::size_t kDownloads = 4;
+/// Above the size up to which an answer is collected before it is passed on.
+constexpr int kBodySize = 2 * 1024 * 1024;
+const std::string kVersion = "HTTP/1.1 ";
+
+/// One request; what comes until the node closes the connection.
+struct Download {
+  Tcp::socket socket;
+  std::string bytes;
+  bool has_ended = false;
+
+  Download(boost::asio::io_context& loop, int port, const std::string& id)
+      : socket(loop) {
+    this->socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                          static_cast<std::uint16_t>(port)});
+    const std::string head =
+        "GET /get/1 HTTP/1.1\r\nHost: files.example\r\nRequest-Id: " + id +
+        "\r\nDeadline-Ms: 60000\r\n\r\n";
+    boost::asio::write(this->socket, boost::asio::buffer(head));
+    this->socket.non_blocking(true);
+  }
+
+  /// Returns whether the connection has ended.
+  bool Read() {
+    std::vector<char> part(64 * 1024);
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t size =
+          this->socket.read_some(boost::asio::buffer(part), error);
+      this->bytes.append(part.data(), size);
+    }
+    this->has_ended = error != boost::asio::error::would_block;
+    return this->has_ended;
+  }
+};
+
+struct Downloads {
+  RelayCluster cluster;
+  boost::asio::io_context loop;
+  std::vector<Download> open;
+
+  Downloads(int port, const std::string& name, int timeout_ms)
+      : cluster(port, name) {
+    this->cluster.Add(Spec("i-front", "front"));
+    FakeInstance::Spec spec = Spec("i-files", "files");
+    spec.body_size = kBodySize;
+    this->cluster.Add(spec);
+    this->cluster.Configure(
+        1, {{"get", "files.example", "/get/", "files", "unsafe", timeout_ms}});
+    this->cluster.WaitReady();
+    this->cluster.Instance(kBesideTarget)
+        .SetFault(InstanceFault::kSilentMidway);
+    for (std::size_t i = 0; i < kDownloads; ++i) {
+      this->open.emplace_back(this->loop, this->cluster.CallerPort(kFront),
+                              "get-" + std::to_string(i));
+    }
+  }
+
+  void WaitForHalves() {
+    for (Download& download : this->open) {
+      REQUIRE(Soon([&]() {
+        download.Read();
+        return download.bytes.size() >= kBodySize / 2;
+      }));
+    }
+  }
+
+  /// Each answer breaks off within itself.
+  void RequireBrokenOff() {
+    for (Download& download : this->open) {
+      CHECK(Soon([&]() { return download.Read(); }));
+      CHECK(download.bytes.rfind(kVersion + "200", 0) == 0);
+      CHECK(download.bytes.find(kVersion, 1) == std::string::npos);
+      CHECK(download.bytes.find("\r\n0\r\n\r\n") == std::string::npos);
+    }
+  }
+};
+
+TEST_CASE("a node that stops adds nothing to a long answer") {
+  Downloads downloads(19740, "stop-midway", 30'000);
+  downloads.WaitForHalves();
+  downloads.cluster.Node(kFront).Signal(SIGTERM);
+  downloads.RequireBrokenOff();
+  CHECK(downloads.cluster.Node(kFront).Wait() == 0);
+}
+
+}  // namespace
+}  // namespace almondlink::test
