Long answers keep the time limit of their request

Callers of downloads whose target fell silent in the middle got neither the rest nor an end, and the slots at the target were never free again.

Change: both keep the limit. The entry breaks the answer off, the node beside the target closes the connection and frees the slot.

--- a/libs/relay/src/entry/entry_answers.cc
+++ b/libs/relay/src/entry/entry_answers.cc
@@ -55,7 +55,6 @@
     return;
   }
   call->is_streaming = true;
-  this->timeouts.erase({call->expires_at.count, call->id});
   const std::weak_ptr<Call> weak = call;
   call->exchange->on_bytes_sent = [this, weak](std::size_t bytes) {
     const CallPointer open = weak.lock();
--- a/libs/relay/src/serving/served_calls.cc
+++ b/libs/relay/src/serving/served_calls.cc
@@ -486,11 +486,17 @@
   }
   late.clear();
   for (const auto& [id, call] : this->runs) {
-    if (now > call->info.deadline && !call->is_answering) {
+    if (now > call->info.deadline) {
       late.push_back(call);
     }
   }
   for (const CallPointer& call : late) {
+    if (call->is_answering) {
+      TargetPool::Cancel(call->exchange);
+      this->EndRun(call);
+      this->EndPartialAnswer(call, false);
+      continue;
+    }
     const LatencyMs work{PreciseNow().count - call->dispatched.count};
     this->RecordWorkTime(*call, work);
     TargetPool::Cancel(call->exchange);
--- a/test/process/relay_long_answer_test.cc
+++ b/test/process/relay_long_answer_test.cc
@@ -13,8 +13,9 @@
 
 #include "test/support/relay_cluster.h"
 
-/// Guards against bytes of a node's own within an answer that it passes on in
-/// parts: one that stopped wrote the head of a 504 into it.
+/// Guards against answers that a node passes on in parts and never ends: those
+/// whose target fell silent had no time limit, and a node that stopped wrote
+/// the head of its own 504 into them.
 namespace almondlink::test {
 namespace {
 
@@ -102,6 +103,28 @@
   }
 };
 
+TEST_CASE("a long answer that falls silent ends with its time limit") {
+  Downloads downloads(19700, "silent-midway", 2000);
+  downloads.WaitForHalves();
+  downloads.RequireBrokenOff();
+  RelayCluster& cluster = downloads.cluster;
+  CHECK(Soon([&]() {
+    return cluster.Metric(kBesideTarget, "almondlink_target_running") == 0;
+  }));
+  cluster.Instance(kBesideTarget).SetFault(InstanceFault::kNone);
+  CHECK(cluster.Call(kFront, "files.example", "/get/1", "after").status == 200);
+}
+
+TEST_CASE("callers that leave a long answer leave no slot taken") {
+  Downloads downloads(19720, "leave-midway", 2000);
+  downloads.WaitForHalves();
+  downloads.open.clear();
+  CHECK(Soon([&]() {
+    return downloads.cluster.Metric(kBesideTarget,
+                                    "almondlink_target_running") == 0;
+  }));
+}
+
 TEST_CASE("a node that stops adds nothing to a long answer") {
   Downloads downloads(19740, "stop-midway", 30'000);
   downloads.WaitForHalves();
