Uploads that end late in a stop are refused, on both interfaces

An upload that began before SIGTERM and ended late was passed on; its run was cut at the end of the grace time with 504 though nothing had to run. A node without other work cut it without an answer.

Cause: a stop closed connections and the listener, but refused no request.

Change: once the listener has closed, requests are refused with 503, which is true, and the connection closes. At the own interface it is when the body is complete.

Evidence: two cases of process_relay_upload_test and one of caller_stop_test.

--- a/libs/relay/include/almondlink/relay/caller_listener.h
+++ b/libs/relay/include/almondlink/relay/caller_listener.h
@@ -85,10 +85,13 @@
 
   /// Closes each connection after its next answer from now on.
   void StartClosing();
-  /// Stops accepting and closes the idle connections.
-  void CloseIdle();
+  /// Stops accepting, closes the idle connections and passes requests that are
+  /// still arriving to the handler, which must refuse them from now on. May be
+  /// called again.
+  void Stop();
 
-  /// Number of open connections, and of those with a request in progress.
+  /// Number of open connections, and of those with a request in progress or
+  /// whose caller still sends one that was refused.
   std::size_t ConnectionCount() const;
   std::size_t BusyConnectionCount() const;
 
--- a/libs/relay/include/almondlink/relay/entry_calls.h
+++ b/libs/relay/include/almondlink/relay/entry_calls.h
@@ -118,6 +118,9 @@
   /// Recomputes the admission shares. Call every 100 ms.
   void UpdateAdmission(Millis now);
 
+  /// Refuses all requests that come from now on. What would still run at the
+  /// end of a stop could not be answered.
+  void StopTakingRequests() { this->is_stopping = true; }
   /// Answers all open calls as timed out, for process shutdown.
   void EndAll();
 
@@ -382,6 +385,7 @@
   std::unordered_map<std::string, Millis> last_available;
   std::vector<std::weak_ptr<Call>> waiting_calls;
   Millis started_at;
+  bool is_stopping = false;
   std::mt19937 random;
   RequestCounts counts;
   QuarantineExchange quarantine;
--- a/libs/relay/src/entry/caller_listener.cc
+++ b/libs/relay/src/entry/caller_listener.cc
@@ -199,12 +199,14 @@
   this->state->is_closing = true;
 }
 
-void CallerListener::CloseIdle() {
+void CallerListener::Stop() {
   boost::system::error_code ignored;
   this->state->acceptor.close(ignored);
+  this->state->is_stopped = true;
   const std::vector<std::shared_ptr<CallerSession>> all(
       this->state->sessions.begin(), this->state->sessions.end());
   for (const std::shared_ptr<CallerSession>& session : all) {
+    session->EndUpload();
     session->CloseIfIdle();
   }
 }
@@ -216,7 +218,7 @@
 std::size_t CallerListener::BusyConnectionCount() const {
   std::size_t busy = 0;
   for (const std::shared_ptr<CallerSession>& session : this->state->sessions) {
-    busy += session->IsBusy() ? 1 : 0;
+    busy += session->IsBusy() || session->IsLingering() ? 1 : 0;
   }
   return busy;
 }
--- a/libs/relay/src/entry/caller_session.cc
+++ b/libs/relay/src/entry/caller_session.cc
@@ -149,6 +149,10 @@
     return;
   }
   if (step == ParseStatus::kNeedMore) {
+    if (this->listener->is_stopped) {
+      this->EndUpload();
+      return;
+    }
     if (is_head_done && this->parser->head.expects_continue &&
         !this->has_sent_continue) {
       this->has_sent_continue = true;
@@ -168,12 +172,28 @@
 }
 
 void CallerSession::Refuse(std::uint32_t status, std::string_view text) {
+  this->DropUnread();
+  this->WriteAnswer(status, text, "", "");
+}
+
+/// Begins the exchange of a request that is answered before it has been read.
+void CallerSession::DropUnread() {
   this->is_last_answer = true;
   this->has_unread_request = true;
   this->parser.reset();
   std::string().swap(this->input);
   this->exchange = std::make_shared<CallerExchange>(this->weak_from_this());
-  this->WriteAnswer(status, text, "", "");
+}
+
+void CallerSession::EndUpload() {
+  if (this->IsBusy() || !this->parser.has_value() ||
+      !this->parser->is_header_done()) {
+    return;
+  }
+  RequestHead head = std::move(this->parser->head);
+  this->is_head_request = head.method == "HEAD";
+  this->DropUnread();
+  this->listener->handler(std::move(head), "", this->exchange);
 }
 
 void CallerSession::WriteHead(std::uint32_t status,
--- a/libs/relay/src/entry/caller_session.h
+++ b/libs/relay/src/entry/caller_session.h
@@ -21,8 +21,13 @@
   void Close();
   /// Closes the connection if no request is in progress.
   void CloseIfIdle();
+  /// Passes a request whose head has arrived to the handler without its body.
+  /// The listener has stopped, so the handler refuses it.
+  void EndUpload();
   void Sweep(Millis now);
   bool IsBusy() const { return this->exchange != nullptr; }
+  /// Whether the caller still sends a request that was answered.
+  bool IsLingering() const { return this->is_lingering; }
   /// Whether no byte of a next request has been parsed.
   bool IsIdle() const {
     return !this->IsBusy() && this->output.empty() &&
@@ -54,6 +59,7 @@
   void Parse();
   bool IsBodyTooLarge() const;
   void Refuse(std::uint32_t status, std::string_view text);
+  void DropUnread();
   void WriteHead(std::uint32_t status,
                  std::string_view status_text,
                  std::string_view fields);
@@ -106,7 +112,10 @@
   boost::asio::steady_timer accept_retry_timer;
   policy::CallerLimits limits;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
+  /// Each answer is the last one on its connection.
   bool is_closing = false;
+  /// The handler refuses all requests.
+  bool is_stopped = false;
 };
 
 }  // namespace almondlink::relay
--- a/libs/relay/src/entry/entry_calls.cc
+++ b/libs/relay/src/entry/entry_calls.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::uint32_t kNotFound = 404;
-/// Retry-After while there is no policy.
-constexpr Millis kNoPolicyRetryAfter{300};
+/// Retry-After while there is no policy or the node stops.
+constexpr Millis kUnreadyRetryAfter{300};
 
 }  // namespace
 
@@ -203,7 +203,11 @@
   call->started = PreciseNow();
   call->table = this->table;
   if (this->table == nullptr) {
-    this->RefuseNotRun(call, CallReason::kNone, kNoPolicyRetryAfter);
+    this->RefuseNotRun(call, CallReason::kNone, kUnreadyRetryAfter);
+    return;
+  }
+  if (this->is_stopping) {
+    this->RefuseNotRun(call, CallReason::kDraining, kUnreadyRetryAfter);
     return;
   }
   if (!this->ResolveRoute(call)) {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -368,7 +368,8 @@
     this->peers.AnnounceState();
   }
   if (since >= kCallerDrainTime) {
-    this->callers.CloseIdle();
+    this->entry.StopTakingRequests();
+    this->callers.Stop();
   }
   const bool is_idle = this->entry.OpenCalls() == 0 &&
                        this->callers.BusyConnectionCount() == 0 &&
--- a/libs/server/src/caller_connection.h
+++ b/libs/server/src/caller_connection.h
@@ -39,6 +39,8 @@
   std::atomic<bool> is_draining{false};
   std::atomic<bool> is_stopped{false};
   std::atomic<bool> is_door_closed{false};
+  /// Requests that arrive are refused: a stop may end before their runs do.
+  std::atomic<bool> is_refusing{false};
   std::atomic<std::uint64_t> open{0};
   std::atomic<std::uint64_t> requests{0};
   std::atomic<std::uint64_t> malformed{0};
@@ -345,6 +347,10 @@
   request.body = std::move(message.body());
   this->is_keep_alive = message.keep_alive();
   this->is_head = message.method() == http::verb::head;
+  if (this->shared->is_refusing) {
+    this->Write(ErrorToAnswer(ErrorKind::kDraining, Millis{-1}, ""), true);
+    return;
+  }
   this->has_request = true;
   ++this->request_number;
   this->shared->requests.fetch_add(1, std::memory_order_relaxed);
--- a/libs/server/src/caller_server.cc
+++ b/libs/server/src/caller_server.cc
@@ -31,6 +31,7 @@
       : loops(std::move(loops)),
         acceptor(*this->loops.front()),
         handshakes(*this->loops.front()),
+        first_requests(*this->loops.front()),
         shared(std::make_shared<Shared>()) {
     this->shared->config = config;
     this->shared->handler = std::move(handler);
@@ -132,6 +133,12 @@
     beast::error_code ignored;
     this->acceptor.close(ignored);
     this->shared->is_door_closed = true;
+    this->first_requests.expires_after(
+        std::chrono::milliseconds(kFirstRequest.count));
+    this->first_requests.async_wait(
+        [self = this->shared_from_this()](beast::error_code failed) {
+          self->shared->is_refusing = !failed;
+        });
   }
 
   /// Closes what is idle on one loop, until nothing is left of it.
@@ -165,6 +172,9 @@
   tcp::acceptor acceptor;
   /// Runs while handshakes end before the port is closed.
   asio::steady_timer handshakes;
+  /// Ends the time in which a connection that was just opened is expected to
+  /// send its first request.
+  asio::steady_timer first_requests;
   const std::shared_ptr<Shared> shared;
   std::vector<std::shared_ptr<SessionSet>> sessions;
   std::size_t next_loop = 0;
--- a/libs/server/tests/caller_stop_test.cc
+++ b/libs/server/tests/caller_stop_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -23,15 +24,17 @@
 /// A server whose loop runs when the test says so.
 struct Stopping {
   asio::io_context loop;
+  std::atomic<int> handled{0};
   CallerServer server;
   std::thread thread;
 
   Stopping()
       : server({&this->loop},
                MakeConfig(),
-               [](std::size_t /*loop*/,
-                  const CallerRequest& /*request*/,
-                  const std::shared_ptr<CallerExchange>& exchange) {
+               [this](std::size_t /*loop*/,
+                      const CallerRequest& /*request*/,
+                      const std::shared_ptr<CallerExchange>& exchange) {
+                 ++this->handled;
                  CallerAnswer answer;
                  answer.status = 200;
                  exchange->Send(std::move(answer));
@@ -71,7 +74,10 @@
   Caller() {
     this->socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
   }
-  void Send() { asio::write(this->socket, asio::buffer(kRequest)); }
+  void Send() { this->Send(kRequest); }
+  void Send(const std::string& bytes) {
+    asio::write(this->socket, asio::buffer(bytes));
+  }
   /// All that comes until the end of the connection.
   std::string ReadAll() {
     std::string all;
@@ -127,6 +133,24 @@
   REQUIRE(IsLastAnswer(late.ReadAll()));
 }
 
+TEST_CASE("an upload that ends late in a stop is refused") {
+  // It was run, and cut at the end of the stop, although nothing had to run.
+  Stopping stopping;
+  REQUIRE(stopping.Listen());
+  Caller uploader;
+  uploader.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  stopping.Run();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  stopping.server.StartDraining();
+  stopping.server.StopAccepting();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  uploader.Send("cd");
+  const std::string answer = uploader.ReadAll();
+  CHECK(answer.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(stopping.handled == 0);
+}
+
 TEST_CASE("a connection on which nothing comes does not hold a stop up") {
   Stopping stopping;
   REQUIRE(stopping.Listen());
--- a/test/process/relay_upload_test.cc
+++ b/test/process/relay_upload_test.cc
@@ -1,3 +1,5 @@
+#include <signal.h>
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -359,5 +361,52 @@
   }
 }
 
+// Guards against uploads that a node which stops passes on so late that their
+// runs are cut, although nothing had to run: their callers could have gone to
+// another node.
+TEST_CASE("an upload that ends late in a stop is refused") {
+  Files files(19840, "upload-stop");
+  REQUIRE(files.Upload("warm", "short").status == 200);
+  files.cluster.Instance(kFirstTarget).SetWork(4500);
+  RawCaller uploader(files.cluster.CallerPort(kFront));
+  RawCaller asking(files.cluster.CallerPort(kFront));
+  const std::string body = MakeBody(kMebibyte);
+  const std::string framing = "Content-Length: " + std::to_string(body.size());
+  REQUIRE(uploader.Write(RawCaller::Head("late", framing) + body.substr(9)));
+  const std::string question =
+      RawCaller::Head("asking", framing + "\r\nExpect: 100-continue");
+  REQUIRE(asking.Write(question.substr(0, question.size() - 2)));
+  // Keeps the node from ending early.
+  std::thread runner(
+      [&]() { CHECK(files.Upload("runs", "short").status == 200); });
+  REQUIRE(Soon([&]() { return files.RunsOf("runs") == 1; }));
+  files.cluster.Node(kFront).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(3200));
+  uploader.Write(body.substr(body.size() - 9));
+  asking.Write("\r\n");
+  CHECK(uploader.ReadStatus() == 503);
+  CHECK(asking.ReadStatus() == 503);
+  runner.join();
+  CHECK(files.cluster.Node(kFront).Wait() == 0);
+  CHECK(files.RunsOf("late") == 0);
+  CHECK(files.RunsOf("asking") == 0);
+}
+
+// Guards against an upload that is cut without an answer by a stop that has
+// nothing else to wait for.
+TEST_CASE("an upload that is under way when the node stops is refused") {
+  Files files(19880, "upload-cut");
+  REQUIRE(files.Upload("warm", "short").status == 200);
+  RawCaller uploader(files.cluster.CallerPort(kFront));
+  const std::string body = MakeBody(kMebibyte);
+  const std::string framing = "Content-Length: " + std::to_string(body.size());
+  REQUIRE(uploader.Write(RawCaller::Head("half", framing) +
+                         body.substr(body.size() / 2)));
+  files.cluster.Node(kFront).Signal(SIGTERM);
+  CHECK(uploader.ReadStatus() == 503);
+  CHECK(files.cluster.Node(kFront).Wait() == 0);
+  CHECK(files.RunsOf("half") == 0);
+}
+
 }  // namespace
 }  // namespace almondlink::test
