--- a/standins/fake_instance.cc
+++ b/standins/fake_instance.cc
@@ -398,6 +398,20 @@
                        "Transfer-Encoding: chunked\r\n\r\n4;x=";
       reaction.endless_bytes = std::string(kEndlessPiece, 'b');
       break;
+    case InstanceFault::kEndlessChunks:
+    case InstanceFault::kEndlessFailure:
+      reaction.bytes = "HTTP/1.1 ";
+      reaction.bytes +=
+          now == InstanceFault::kEndlessChunks ? "200 OK" : "500 Fault";
+      reaction.bytes += "\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n";
+      reaction.endless_bytes =
+          "4000\r\n" + std::string(kEndlessPiece, 'b') + "\r\n";
+      break;
+    case InstanceFault::kEndlessLength:
+      reaction.bytes =
+          "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 99000000000\r\n\r\n";
+      reaction.endless_bytes = std::string(kEndlessPiece, 'b');
+      break;
     case InstanceFault::kOddStatus: {
       const std::lock_guard<std::mutex> lock(this->mutex);
       reaction.bytes = "HTTP/1.1 " + this->odd_status + " Odd\r\n" + seal +
--- a/standins/fake_instance.h
+++ b/standins/fake_instance.h
@@ -48,6 +48,11 @@
   kEndlessInterim,
   kEndlessOther,
   kEndlessExtension,
+  /// Runs it and sends an answer of its own without end: a success in chunks, a
+  /// success with a length that it will not reach, a failure in chunks.
+  kEndlessChunks,
+  kEndlessLength,
+  kEndlessFailure,
   /// Ends halfway through the body, and is back under another id.
   kEndInBody,
   /// Answers with the id that it did not run it, a second time after a pause.
--- a/test/process/relay_long_answer_test.cc
+++ b/test/process/relay_long_answer_test.cc
@@ -1,12 +1,12 @@
 #include <signal.h>
 
-#include <atomic>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,8 +14,9 @@
 #include "test/support/relay_cluster.h"
 
 /// Guards against answers that a node passes on in parts and never ends: those
-/// whose target fell silent had no time limit, and a node that stopped wrote
-/// the head of its own 504 into them.
+/// whose target fell silent had no time limit, those without end lasted as long
+/// as their callers, and a node that stopped wrote the head of its own 504 into
+/// them.
 namespace almondlink::test {
 namespace {
 
@@ -28,8 +29,24 @@
 constexpr std::size_t kDownloads = 4;
 /// Above the size up to which an answer is collected before it is passed on.
 constexpr int kBodySize = 2 * 1024 * 1024;
+/// A node at rest, two windows for each download, and room for the allocator.
+constexpr std::size_t kMaxPeakKb = 40 * 1024;
 const std::string kVersion = "HTTP/1.1 ";
 
+/// The most memory that a process has had resident.
+std::size_t PeakKb(const Process& node) {
+  std::ifstream status("/proc/" + std::to_string(node.Id()) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.rfind("VmHWM:", 0) == 0) {
+      std::size_t size = 0;
+      std::istringstream(line.substr(6)) >> size;
+      return size;
+    }
+  }
+  return 0;
+}
+
 /// One request; what comes until the node closes the connection.
 struct Download {
   Tcp::socket socket;
@@ -66,7 +83,10 @@
   boost::asio::io_context loop;
   std::vector<Download> open;
 
-  Downloads(int port, const std::string& name, int timeout_ms)
+  Downloads(int port,
+            const std::string& name,
+            int timeout_ms,
+            InstanceFault fault = InstanceFault::kSilentMidway)
       : cluster(port, name) {
     this->cluster.Add(Spec("i-front", "front"));
     FakeInstance::Spec spec = Spec("i-files", "files");
@@ -75,14 +95,25 @@
     this->cluster.Configure(
         1, {{"get", "files.example", "/get/", "files", "unsafe", timeout_ms}});
     this->cluster.WaitReady();
-    this->cluster.Instance(kBesideTarget)
-        .SetFault(InstanceFault::kSilentMidway);
+    this->cluster.Instance(kBesideTarget).SetFault(fault);
     for (std::size_t i = 0; i < kDownloads; ++i) {
       this->open.emplace_back(this->loop, this->cluster.CallerPort(kFront),
                               "get-" + std::to_string(i));
     }
   }
 
+  /// Reads from every second connection until these have ended.
+  bool HalfEnd() {
+    return Soon([&]() {
+      bool have_ended = true;
+      for (std::size_t i = 0; i < this->open.size(); i += 2) {
+        have_ended = this->open[i].Read() && have_ended;
+        this->open[i].bytes.clear();
+      }
+      return have_ended;
+    });
+  }
+
   void WaitForHalves() {
     for (Download& download : this->open) {
       REQUIRE(Soon([&]() {
@@ -125,6 +156,31 @@
   }));
 }
 
+TEST_CASE("an answer without end is bounded in time and in memory") {
+  int port = 19900;
+  for (const InstanceFault fault :
+       {InstanceFault::kEndlessChunks, InstanceFault::kEndlessLength,
+        InstanceFault::kEndlessFailure}) {
+    INFO("fault " << static_cast<int>(fault));
+    Downloads downloads(port, "endless-" + std::to_string(port), 2000, fault);
+    port += 20;
+    RelayCluster& cluster = downloads.cluster;
+    CHECK(downloads.HalfEnd());
+    CHECK(Soon([&]() {
+      return cluster.Metric(kBesideTarget, "almondlink_target_running") == 0;
+    }));
+    for (const int node : {kFront, kBesideTarget}) {
+      const std::size_t peak = PeakKb(cluster.Node(node));
+      INFO("node " << node);
+      CHECK(peak > 0);
+      CHECK(peak < kMaxPeakKb);
+    }
+    cluster.Instance(kBesideTarget).SetFault(InstanceFault::kNone);
+    CHECK(cluster.Call(kFront, "files.example", "/get/1", "after").status ==
+          200);
+  }
+}
+
 TEST_CASE("a node that stops adds nothing to a long answer") {
   Downloads downloads(19740, "stop-midway", 30'000);
   downloads.WaitForHalves();
