--- a/test/process/relay_endless_test.cc
+++ b/test/process/relay_endless_test.cc
@@ -1,11 +1,10 @@
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <fstream>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "test/support/process_memory.h"
 #include "test/support/relay_cluster.h"
 
 /// Guards against bytes without end from a target that are no answer: the node
@@ -23,25 +22,11 @@
 constexpr int kCallers = 10;
 /// Each of the callers' connections may hold what is read at once and what is
 /// not parsed yet; the rest is room for the allocator.
-constexpr std::size_t kMaxGrowthKb = 16 * 1024;
+constexpr std::size_t kMaxGrowth = 16 * 1024 * 1024;
 const std::vector<RouteSpec> kRoutes = {
     {"get", "stock.example", "/get/", "stock"},
     {"pay", "stock.example", "/pay/", "stock", "unsafe"}};
 
-/// The most memory that a process has had resident.
-std::size_t PeakKb(const Process& node) {
-  std::ifstream status("/proc/" + std::to_string(node.Id()) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) {
-      std::size_t size = 0;
-      std::istringstream(line.substr(6)) >> size;
-      return size;
-    }
-  }
-  return 0;
-}
-
 TEST_CASE("bytes without end that are no answer leave the node as it was") {
   RelayCluster cluster(31720, "endless");
   cluster.Add(Spec("i-front", "front"));
@@ -50,7 +35,7 @@
   cluster.WaitReady();
   REQUIRE(cluster.Call(kFront, "stock.example", "/get/1", "warm").status ==
           200);
-  const std::size_t peak_before = PeakKb(cluster.Node(kBesideTarget));
+  const std::size_t peak_before = MemoryOf(cluster.Node(kBesideTarget)).peak;
   REQUIRE(peak_before > 0);
   for (const InstanceFault fault :
        {InstanceFault::kEndlessInterim, InstanceFault::kEndlessOther,
@@ -76,8 +61,8 @@
       caller.join();
     }
     CHECK(unknown == kCallers);
-    const std::size_t peak = PeakKb(cluster.Node(kBesideTarget));
-    CHECK(peak < peak_before + kMaxGrowthKb);
+    const std::size_t peak = MemoryOf(cluster.Node(kBesideTarget)).peak;
+    CHECK(peak < peak_before + kMaxGrowth);
     cluster.Instance(kBesideTarget).SetFault(InstanceFault::kNone);
     // All slots are free again, and the target is used.
     REQUIRE(Soon([&]() {
--- a/test/process/relay_long_answer_test.cc
+++ b/test/process/relay_long_answer_test.cc
@@ -5,12 +5,11 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <fstream>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "test/support/process_memory.h"
 #include "test/support/relay_cluster.h"
 
 /// Guards against answers that a node passes on in parts and never ends: those
@@ -30,23 +29,9 @@
 /// Above the size up to which an answer is collected before it is passed on.
 constexpr int kBodySize = 2 * 1024 * 1024;
 /// A node at rest, two windows for each download, and room for the allocator.
-constexpr std::size_t kMaxPeakKb = 40 * 1024;
+constexpr std::size_t kMaxPeak = 40 * 1024 * 1024;
 const std::string kVersion = "HTTP/1.1 ";
 
-/// The most memory that a process has had resident.
-std::size_t PeakKb(const Process& node) {
-  std::ifstream status("/proc/" + std::to_string(node.Id()) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) {
-      std::size_t size = 0;
-      std::istringstream(line.substr(6)) >> size;
-      return size;
-    }
-  }
-  return 0;
-}
-
 /// One request; what comes until the node closes the connection.
 struct Download {
   Tcp::socket socket;
@@ -170,10 +155,10 @@
       return cluster.Metric(kBesideTarget, "almondlink_target_running") == 0;
     }));
     for (const int node : {kFront, kBesideTarget}) {
-      const std::size_t peak = PeakKb(cluster.Node(node));
+      const std::size_t peak = MemoryOf(cluster.Node(node)).peak;
       INFO("node " << node);
       CHECK(peak > 0);
-      CHECK(peak < kMaxPeakKb);
+      CHECK(peak < kMaxPeak);
     }
     cluster.Instance(kBesideTarget).SetFault(InstanceFault::kNone);
     CHECK(cluster.Call(kFront, "files.example", "/get/1", "after").status ==
--- a/test/process/relay_upload_test.cc
+++ b/test/process/relay_upload_test.cc
@@ -8,7 +8,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -16,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "test/support/process_memory.h"
 #include "test/support/relay_cluster.h"
 
 /// Requests with large bodies that may run only once: each reaches at most one
@@ -97,28 +97,16 @@
   return body;
 }
 
-/// What a node holds: resident memory in bytes, now and at most, and open
-/// sockets.
+/// What a node holds: resident memory in bytes, and open sockets.
 struct Held {
   std::size_t memory = 0;
-  std::size_t peak = 0;
   std::size_t sockets = 0;
 };
 
 Held HeldBy(const Process& node) {
   const std::string folder = "/proc/" + std::to_string(node.Id());
   Held held;
-  std::ifstream status(folder + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    const bool is_peak = line.rfind("VmHWM:", 0) == 0;
-    if (is_peak || line.rfind("VmRSS:", 0) == 0) {
-      std::size_t& bytes = is_peak ? held.peak : held.memory;
-      std::istringstream text(line.substr(6));
-      text >> bytes;
-      bytes *= 1024;
-    }
-  }
+  held.memory = MemoryOf(node).resident;
   for (const auto& entry :
        std::filesystem::directory_iterator(folder + "/fd")) {
     std::error_code error;
@@ -354,7 +342,7 @@
   REQUIRE(files.Upload("largest", MakeBody(kLargestBody), 30'000).status ==
           200);
   for (int node = 0; node <= files.targets; ++node) {
-    const std::size_t peak = HeldBy(files.cluster.Node(node)).peak;
+    const std::size_t peak = MemoryOf(files.cluster.Node(node)).peak;
     INFO("node " << node << ": " << peak / kMebibyte << " MiB");
     CHECK(peak > kLargestBody);
     CHECK(peak < kHostMemory);
